--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the daemon module. */
+package org.tamarackfold.daemon;
--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the standin module. */
+package org.tamarackfold.standin;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/package-info.java
@@ -0,0 +1,2 @@
+/** Scheduler for agent programs. */
+package org.tamarackfold;
