--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about programs and calls. Lock rank: PROGRAMS. */
+package org.tamarackfold.caller;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Decisions about model engines, application engines and tool services. Lock ranks: ENDPOINTS,
+ * ADMISSION.
+ */
+package org.tamarackfold.endpoint;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Failures that carry the step and the party at which they arose. */
+package org.tamarackfold.errors;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/id/Address.java
@@ -0,0 +1,36 @@
+package org.tamarackfold.id;
+
+/**
+ * Address by IP number and port.
+ *
+ * @param ip the IP number in text form
+ * @param port the port, 1 to 65535
+ */
+public record Address(String ip, int port) {
+    private static final int MAXIMUM_PORT = 65_535;
+
+    /** Validates the port. */
+    public Address {
+        if (ip == null || ip.isEmpty() || port < 1 || port > MAXIMUM_PORT) {
+            throw new IllegalArgumentException("Address is malformed: " + ip + ":" + port);
+        }
+    }
+
+    /**
+     * Parses the form {@code ip:port}.
+     *
+     * @throws IllegalArgumentException when the text has another form
+     */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("Address is not of the form ip:port: " + text);
+        }
+        return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    @Override
+    public String toString() {
+        return ip + ":" + port;
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/id/IdentifierSyntax.java
@@ -0,0 +1,16 @@
+package org.tamarackfold.id;
+
+import java.util.regex.Pattern;
+
+/** Syntax shared by all textual identifiers. */
+final class IdentifierSyntax {
+    private static final Pattern SYNTAX = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+
+    private IdentifierSyntax() {}
+
+    static void require(String type, String value) {
+        if (value == null || !SYNTAX.matcher(value).matches()) {
+            throw new IllegalArgumentException(type + " is malformed: " + value);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for identifiers. */
+package org.tamarackfold.id;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/package-info.java
@@ -0,0 +1,2 @@
+/** One node: events in, actions out. */
+package org.tamarackfold.node;
--- a/tamarackfold/src/main/java/org/tamarackfold/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Scheduler for agent programs. */
-package org.tamarackfold;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -0,0 +1,11 @@
+package org.tamarackfold.table;
+
+/** Order in which a thread may take the locks of the shared tables: ascending only. */
+public enum LockRank {
+    RELEASE,
+    MEMBERS,
+    ENDPOINTS,
+    PROGRAMS,
+    WITNESS,
+    ADMISSION
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/package-info.java
@@ -0,0 +1,2 @@
+/** Locks of the shared tables and their order. */
+package org.tamarackfold.table;
