--- a/tamarackfold/src/main/java/org/tamarackfold/caller/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Decisions about programs and calls. Lock rank: PROGRAMS. */
-package org.tamarackfold.caller;
--- a/tamarackfold/src/main/java/org/tamarackfold/node/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** One node: events in, actions out. */
-package org.tamarackfold.node;
