--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
@@ -0,0 +1,101 @@
+package org.tamarackfold.daemon;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ServiceLoader;
+import java.util.concurrent.CountDownLatch;
+import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.log.BoundedConsoleHandler;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.node.runtime.EntryNode;
+import org.tamarackfold.node.runtime.Host;
+import org.tamarackfold.node.runtime.StorageNode;
+import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.settings.toml.SettingsFile;
+
+/** Runs one host until it is asked to stop. */
+public final class HostDaemon {
+    /** Names the settings file when no argument does. */
+    private static final String SETTINGS_VARIABLE = "TAMARACKFOLD_CONFIG";
+
+    private static final int USAGE_ERROR = 2;
+
+    private HostDaemon() {}
+
+    /** Starts the host that the settings file describes. */
+    public static void main(String[] arguments) throws IOException {
+        String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
+        if (path == null) {
+            System.err.println(
+                    "tamarackfold: no settings file; give one as argument or in "
+                            + SETTINGS_VARIABLE);
+            System.exit(USAGE_ERROR);
+            return;
+        }
+        Path file = Path.of(path);
+        Either<Vector<String>, HostSettings> settings = SettingsFile.read(file);
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(System.err::println);
+            System.exit(USAGE_ERROR);
+            return;
+        }
+        run(settings.get(), file);
+    }
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws IllegalArgumentException when it has errors
+     */
+    static HostSettings read(Path file) {
+        return SettingsFile.read(file)
+                .getOrElseThrow(errors -> new IllegalArgumentException(errors.mkString("; ")));
+    }
+
+    private static void run(HostSettings settings, Path file) throws IOException {
+        BoundedConsoleHandler console = BoundedConsoleHandler.install(System.out);
+        StructuredLog log = StructuredLog.of("host");
+        log.event("starting")
+                .with("host", settings.host())
+                .with("role", settings.role())
+                .with("zone", settings.zone())
+                .info();
+        SettingsReload.install(file, log);
+        Host host = start(settings);
+        log.event("started").with("host", settings.host()).info();
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    host.stop();
+                                    console.close();
+                                    stopped.countDown();
+                                },
+                                "shutdown"));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    static Host start(HostSettings settings) throws IOException {
+        PlatformAdapter adapter = adapter(settings.adapter());
+        return switch (settings.role()) {
+            case ENTRY -> EntryNode.start(settings, adapter);
+            case STORAGE -> StorageNode.start(settings, adapter);
+        };
+    }
+
+    private static PlatformAdapter adapter(String name) {
+        for (PlatformAdapter candidate : ServiceLoader.load(PlatformAdapter.class)) {
+            if (candidate.name().equals(name)) {
+                return candidate;
+            }
+        }
+        throw new IllegalArgumentException("adapter: no adapter is named " + name);
+    }
+}
--- /dev/null
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -0,0 +1,109 @@
+namespace java org.tamarackfold.peer.thrift.generated
+
+struct MemberStruct {
+  1: required string host
+  2: required string store
+  3: required string address
+  4: required string zone
+}
+
+struct ViewStruct {
+  1: required i32 shard
+  2: required i64 epoch
+  3: required list<MemberStruct> members
+}
+
+struct LayoutStruct {
+  1: required list<ViewStruct> views
+}
+
+struct EntryHostStruct {
+  1: required string host
+  2: required string address
+  3: required string zone
+}
+
+struct TurnStruct {
+  1: required string call
+  2: required binary text
+  3: required i64 keepUntilMillis
+}
+
+struct ChargeStruct {
+  1: required string program
+  2: required string call
+  3: required i64 tokens
+  4: required bool settled
+  5: required i64 keepUntilMillis
+}
+
+union RecordStruct {
+  1: TurnStruct turn
+  2: ChargeStruct charge
+}
+
+struct LoggedRecordStruct {
+  1: required i32 shard
+  2: required RecordStruct record
+}
+
+struct ReserveStruct {
+  1: required i32 shard
+  2: required string program
+  3: required string call
+  4: required i64 tokens
+  5: required i64 budgetTokens
+}
+
+struct SettleStruct {
+  1: required i32 shard
+  2: required string program
+  3: required string call
+  4: required i64 tokens
+}
+
+struct LookUpStruct {
+  1: required i32 shard
+  2: required string call
+}
+
+struct StoreStruct {
+  1: required i32 shard
+  2: required string call
+  3: required binary text
+  4: required i64 retentionMillis
+}
+
+struct AppendStruct {
+  1: required i32 shard
+  2: required i64 epoch
+  3: required string targetStore
+  4: required list<RecordStruct> records
+}
+
+struct PingStruct {
+  1: required string host
+}
+
+union RequestStruct {
+  1: ReserveStruct reserve
+  2: SettleStruct settle
+  3: LookUpStruct lookUp
+  4: StoreStruct store
+  5: AppendStruct append
+  6: PingStruct ping
+}
+
+struct EmptyStruct {
+}
+
+union ReplyStruct {
+  1: EmptyStruct done
+  2: EmptyStruct exhausted
+  3: binary found
+  4: EmptyStruct absent
+  5: EmptyStruct notPrimary
+  6: i64 staleEpoch
+  7: string unavailable
+  8: string storeId
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/AnswerRelay.java
@@ -0,0 +1,24 @@
+package org.tamarackfold.caller.http;
+
+import java.nio.ByteBuffer;
+
+/** Passes the answer of an endpoint to the caller. */
+sealed interface AnswerRelay permits StreamRelay, WholeAnswerRelay {
+    /** Takes bytes of the body. */
+    void onBody(ByteBuffer bytes);
+
+    /** Returns the status of the endpoint. */
+    int status();
+
+    /** Tells whether anything has been sent to the caller. */
+    boolean started();
+
+    /** Tells whether the answer, if it ends here, is whole. */
+    boolean isWhole();
+
+    /** Ends the answer. */
+    void finish();
+
+    /** Breaks the answer off, so that it does not look complete. */
+    void abort();
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP front end for callers: decodes calls, runs them at endpoints and relays the answers. */
+package org.tamarackfold.caller.http;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/PlacementRequest.java
@@ -0,0 +1,32 @@
+package org.tamarackfold.endpoint;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.control.Option;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.ServiceName;
+
+/**
+ * What is asked of placement.
+ *
+ * @param service the service
+ * @param affinity hashed into a preference among equally loaded endpoints; the same value prefers
+ *     the same endpoint
+ * @param preferred the endpoint that ran the previous turn of the conversation
+ * @param excluded the endpoints that the call has tried
+ */
+public record PlacementRequest(
+        ServiceName service,
+        Option<String> affinity,
+        Option<EndpointId> preferred,
+        Set<EndpointId> excluded) {
+    /** Returns a request without preference. */
+    public static PlacementRequest of(ServiceName service) {
+        return new PlacementRequest(service, Option.none(), Option.none(), HashSet.empty());
+    }
+
+    /** Returns this request with one more endpoint excluded. */
+    public PlacementRequest without(EndpointId endpoint) {
+        return new PlacementRequest(service, affinity, preferred, excluded.add(endpoint));
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/NodeMetrics.java
@@ -0,0 +1,87 @@
+package org.tamarackfold.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** The metrics of one process. */
+public final class NodeMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter calls;
+    private final Counter attempts;
+    private final Counter keyValueCalls;
+    private final Counter peerCalls;
+    private final Histogram latency;
+
+    /** Creates the metrics. */
+    public NodeMetrics() {
+        calls =
+                Counter.builder()
+                        .name("tamarackfold_calls")
+                        .help("Calls by route and outcome.")
+                        .labelNames("route", "outcome")
+                        .register(registry);
+        attempts =
+                Counter.builder()
+                        .name("tamarackfold_attempts")
+                        .help("Attempts at endpoints by service and outcome.")
+                        .labelNames("service", "outcome")
+                        .register(registry);
+        keyValueCalls =
+                Counter.builder()
+                        .name("tamarackfold_key_value_calls")
+                        .help("Calls to the key-value service by operation and outcome.")
+                        .labelNames("operation", "outcome")
+                        .register(registry);
+        peerCalls =
+                Counter.builder()
+                        .name("tamarackfold_peer_calls")
+                        .help("Calls to other hosts by operation and outcome.")
+                        .labelNames("operation", "outcome")
+                        .register(registry);
+        latency =
+                Histogram.builder()
+                        .name("tamarackfold_call_seconds")
+                        .help("Time from the arrival of a call to the end of its answer.")
+                        .labelNames("route")
+                        .classicOnly()
+                        .classicUpperBounds(.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4)
+                        .register(registry);
+    }
+
+    /** Counts a finished call. */
+    public void call(String route, String outcome, double seconds) {
+        calls.labelValues(route, outcome).inc();
+        latency.labelValues(route).observe(seconds);
+    }
+
+    /** Counts an attempt at an endpoint. */
+    public void attempt(String service, String outcome) {
+        attempts.labelValues(service, outcome).inc();
+    }
+
+    /** Counts a call to the key-value service. */
+    public void keyValueCall(String operation, String outcome) {
+        keyValueCalls.labelValues(operation, outcome).inc();
+    }
+
+    /** Counts a call to another host. */
+    public void peerCall(String operation, String outcome) {
+        peerCalls.labelValues(operation, outcome).inc();
+    }
+
+    /** Returns all metrics in the text format. */
+    public byte[] exposition() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.builder().build().write(out, registry.scrape());
+        } catch (IOException e) {
+            return ("# scrape failed: " + e + "\n").getBytes(StandardCharsets.UTF_8);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of a process, in the Prometheus text format. */
+package org.tamarackfold.metrics;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/package-info.java
@@ -0,0 +1,2 @@
+/** What a host does besides serving calls: decisions on directories and registrations. */
+package org.tamarackfold.node;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -0,0 +1,172 @@
+package org.tamarackfold.node.runtime;
+
+import io.undertow.Undertow;
+import java.io.IOException;
+import java.time.Duration;
+import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.caller.http.CallContext;
+import org.tamarackfold.caller.http.CallHandler;
+import org.tamarackfold.endpoint.EndpointRegistry;
+import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.keyvalue.LeasedKey;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.node.EntryDirectory;
+import org.tamarackfold.operator.ReleaseBook;
+import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.HistoryClient;
+import org.tamarackfold.peer.LayoutBook;
+import org.tamarackfold.peer.SharedKeys;
+import org.tamarackfold.settings.HostSettings;
+
+/** An entry host: takes the calls of callers and runs them at endpoints. */
+public final class EntryNode implements Host {
+    private static final StructuredLog LOG = StructuredLog.of("entry");
+
+    /** Registration of an entry host; a dead one is named to callers for at most this long. */
+    private static final Duration REGISTRATION_LEASE = Duration.ofSeconds(4);
+
+    /** Pause between two checks whether the host may register. */
+    private static final Duration READY_CHECK = Duration.ofMillis(50);
+
+    /** Callers keep addresses for up to this many times their time to live. */
+    private static final int ADDRESS_REUSE = 3;
+
+    /** Left of the grace time for the end of the process itself. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+
+    /** Quiet time after which a stopping host expects no more calls. */
+    private static final Duration QUIET = Duration.ofMillis(1_200);
+
+    private final HostParts parts;
+    private final ReleaseBook releases = new ReleaseBook();
+    private final EndpointTable endpoints;
+    private final EndpointListener endpointListener;
+    private final LeasedKey registration;
+    private final CallHandler calls;
+    private final Undertow server;
+    private volatile boolean stopping;
+    private volatile boolean registered;
+
+    private EntryNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
+        parts = new HostParts(settings, adapter);
+        endpoints = new EndpointTable(settings.zone(), parts.random());
+        EndpointRegistry registry = new EndpointRegistry(endpoints, parts.scheduler());
+        endpointListener = new EndpointListener(adapter, endpoints, registry);
+        calls = new CallHandler(callContext());
+        registration = registration(settings);
+        server =
+                new Listeners(parts.runtime())
+                        .add(settings.callers().get(), calls)
+                        .add(settings.readiness().get(), Handlers.readiness(adapter, this::isReady))
+                        .add(
+                                settings.directory().get(),
+                                Handlers.directory(
+                                        adapter,
+                                        new EntryDirectory(parts.members()),
+                                        settings.directoryTimeToLive()))
+                        .add(settings.metrics(), Handlers.metrics(parts.metrics()))
+                        .start();
+    }
+
+    /** Starts an entry host. */
+    public static EntryNode start(HostSettings settings, PlatformAdapter adapter)
+            throws IOException {
+        EntryNode node = new EntryNode(settings, adapter);
+        node.watch();
+        node.registerWhenReady();
+        return node;
+    }
+
+    private CallContext callContext() {
+        return new CallContext(
+                parts.adapter().callHeaders(),
+                releases,
+                endpoints,
+                parts.client(),
+                new HistoryClient(parts.layouts(), parts.channel(), parts.scheduler()),
+                parts.metrics(),
+                parts.random());
+    }
+
+    private LeasedKey registration(HostSettings settings) {
+        EntryHost self = new EntryHost(settings.host(), settings.callers().get(), settings.zone());
+        return new LeasedKey(
+                parts.keyValue(),
+                SharedKeys.entryHost(settings.host()),
+                parts.codec().encode(self),
+                REGISTRATION_LEASE,
+                parts.scheduler());
+    }
+
+    private void watch() {
+        parts.watch(
+                parts.adapter().operatorPrefix(), new ReleaseListener(parts.adapter(), releases));
+        parts.watch(parts.adapter().endpointPrefix(), endpointListener);
+        parts.watch(
+                SharedKeys.ROOT,
+                new SharedStateListener(
+                        parts.members(),
+                        parts.codec(),
+                        this::layoutRead,
+                        SharedKeys.entryHost(parts.settings().host()),
+                        registration::renewKey));
+    }
+
+    private void layoutRead(KeyValueService.Item item) {
+        boolean later =
+                parts.layouts()
+                        .offer(
+                                new LayoutBook.Stored(
+                                        parts.codec().decodeLayout(item.value()), item.revision()));
+        LOG.event("layout").with("revision", item.revision()).with("adopted", later).info();
+    }
+
+    private boolean isReady() {
+        return !stopping && releases.current().isDefined() && endpointListener.isListed();
+    }
+
+    private void registerWhenReady() {
+        if (stopping || registered) {
+            return;
+        }
+        if (!isReady()) {
+            parts.scheduler().after(READY_CHECK, this::registerWhenReady);
+            return;
+        }
+        registered = true;
+        LOG.event("ready").with("endpoints", endpoints.size()).info();
+        registration.start();
+    }
+
+    @Override
+    public void stop() {
+        long startedAt = System.nanoTime();
+        stopping = true;
+        LOG.event("stopping").with("active_calls", calls.activeCalls()).info();
+        registration.stop();
+        calls.startDraining();
+        Duration reuse = parts.settings().directoryTimeToLive().multipliedBy(ADDRESS_REUSE);
+        long latest = startedAt + parts.settings().shutdownGrace().minus(STOP_MARGIN).toNanos();
+        while (System.nanoTime() - latest < 0 && !isQuiet(startedAt + reuse.toNanos())) {
+            sleep(READY_CHECK);
+        }
+        LOG.event("stopped").with("active_calls", calls.activeCalls()).info();
+        server.stop();
+    }
+
+    private boolean isQuiet(long earliest) {
+        long now = System.nanoTime();
+        return now - earliest > 0
+                && calls.activeCalls() == 0
+                && now - calls.lastCallNanos() > QUIET.toNanos();
+    }
+
+    private static void sleep(Duration duration) {
+        try {
+            Thread.sleep(duration);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/Handlers.java
@@ -0,0 +1,63 @@
+package org.tamarackfold.node.runtime;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.function.BooleanSupplier;
+import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.metrics.NodeMetrics;
+import org.tamarackfold.node.EntryDirectory;
+
+/** The small handlers of a host: readiness, directory and metrics. */
+final class Handlers {
+    private Handlers() {}
+
+    static HttpHandler metrics(NodeMetrics metrics) {
+        return exchange -> {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
+            exchange.getResponseSender().send(ByteBuffer.wrap(metrics.exposition()));
+        };
+    }
+
+    static HttpHandler readiness(PlatformAdapter adapter, BooleanSupplier ready) {
+        return exchange -> {
+            boolean known = exchange.getRequestPath().equals(adapter.readinessPath());
+            int status =
+                    !known
+                            ? StatusCodes.NOT_FOUND
+                            : ready.getAsBoolean()
+                                    ? StatusCodes.OK
+                                    : StatusCodes.SERVICE_UNAVAILABLE;
+            exchange.setStatusCode(status);
+            exchange.endExchange();
+        };
+    }
+
+    static HttpHandler directory(
+            PlatformAdapter adapter, EntryDirectory directory, java.time.Duration timeToLive) {
+        return exchange -> {
+            if (!exchange.getRequestPath().equals(adapter.directoryPath())) {
+                exchange.setStatusCode(StatusCodes.NOT_FOUND);
+                exchange.endExchange();
+                return;
+            }
+            var addresses = directory.addressesFor(parameter(exchange, "zone"));
+            if (addresses.isEmpty()) {
+                exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+                exchange.endExchange();
+                return;
+            }
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            exchange.getResponseSender()
+                    .send(ByteBuffer.wrap(adapter.encodeDirectory(addresses, timeToLive)));
+        };
+    }
+
+    private static String parameter(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null || values.isEmpty() ? "" : values.peekFirst();
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/SharedStateListener.java
@@ -0,0 +1,75 @@
+package org.tamarackfold.node.runtime;
+
+import io.vavr.control.Option;
+import java.util.function.Consumer;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.keyvalue.PrefixWatcher;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.peer.MemberTable;
+import org.tamarackfold.peer.SharedKeys;
+import org.tamarackfold.peer.SharedStateCodec;
+
+/** Applies what hosts share through the key-value service. */
+final class SharedStateListener implements PrefixWatcher.Listener {
+    private static final StructuredLog LOG = StructuredLog.of("members");
+
+    private final MemberTable members;
+    private final SharedStateCodec codec;
+    private final Consumer<KeyValueService.Item> onLayout;
+    private final String ownKey;
+    private final Runnable onOwnKeyRemoved;
+
+    SharedStateListener(
+            MemberTable members,
+            SharedStateCodec codec,
+            Consumer<KeyValueService.Item> onLayout,
+            String ownKey,
+            Runnable onOwnKeyRemoved) {
+        this.members = members;
+        this.codec = codec;
+        this.onLayout = onLayout;
+        this.ownKey = ownKey;
+        this.onOwnKeyRemoved = onOwnKeyRemoved;
+    }
+
+    @Override
+    public void onListing(KeyValueService.Listing listing) {
+        members.clear();
+        listing.items().forEach(this::apply);
+        if (!listing.items().exists(item -> item.key().equals(ownKey))) {
+            onOwnKeyRemoved.run();
+        }
+    }
+
+    @Override
+    public void onChange(KeyValueService.Change change) {
+        switch (change) {
+            case KeyValueService.Change.Written(KeyValueService.Item item) -> apply(item);
+            case KeyValueService.Change.Removed(String key, long revision) -> {
+                members.remove(key);
+                LOG.event("removed").with("key", key).with("revision", revision).info();
+                if (key.equals(ownKey)) {
+                    onOwnKeyRemoved.run();
+                }
+            }
+        }
+    }
+
+    private void apply(KeyValueService.Item item) {
+        try {
+            if (item.key().equals(SharedKeys.LAYOUT)) {
+                onLayout.accept(item);
+            } else if (item.key().startsWith(SharedKeys.STORAGE_HOSTS)) {
+                members.put(item.key(), codec.decodeMember(item.value()));
+            } else if (item.key().startsWith(SharedKeys.ENTRY_HOSTS)) {
+                members.put(item.key(), codec.decodeEntryHost(item.value()));
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.event("item_malformed")
+                    .with("key", item.key())
+                    .with("revision", item.revision())
+                    .with("reason", Option.of(e.getMessage()).getOrElse("unknown"))
+                    .warn();
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles the parts of a host: listeners, clients, tables and timers. */
+package org.tamarackfold.node.runtime;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
@@ -0,0 +1,204 @@
+package org.tamarackfold.operator;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.time.Duration;
+import java.util.Objects;
+import org.tamarackfold.id.RouteName;
+import org.tamarackfold.id.ServiceName;
+
+/** Maps calls by host and path prefix to services, with the rules of these calls. */
+public final class Route {
+    private final RouteName name;
+    private final String host;
+    private final String prefix;
+    private final Repeatability repeatability;
+    private final Seq<WeightedService> services;
+    private final Duration timeout;
+    private final Duration targetLatency;
+    private final int priority;
+    private final int maximumAttempts;
+    private final boolean keepsHistory;
+    private final Duration retention;
+    private final boolean budgeted;
+
+    private Route(Builder builder) {
+        this.name = Objects.requireNonNull(builder.name);
+        this.host = Objects.requireNonNull(builder.host);
+        this.prefix = Objects.requireNonNull(builder.prefix);
+        this.repeatability = Objects.requireNonNull(builder.repeatability);
+        this.services = builder.services;
+        this.timeout = builder.timeout;
+        this.targetLatency = builder.targetLatency;
+        this.priority = builder.priority;
+        this.maximumAttempts = builder.maximumAttempts;
+        this.keepsHistory = builder.keepsHistory;
+        this.retention = builder.retention;
+        this.budgeted = builder.budgeted;
+    }
+
+    /** Returns a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Returns the name. */
+    public RouteName name() {
+        return name;
+    }
+
+    /** Returns the host of the calls, in lower case. */
+    public String host() {
+        return host;
+    }
+
+    /** Returns the path prefix, which begins and ends with a slash. */
+    public String prefix() {
+        return prefix;
+    }
+
+    /** Returns how often its calls may run. */
+    public Repeatability repeatability() {
+        return repeatability;
+    }
+
+    /** Returns the services with their weights. */
+    public Seq<WeightedService> services() {
+        return services;
+    }
+
+    /** Tells whether a service may run calls of this route. */
+    public boolean allows(ServiceName service) {
+        return services.exists(entry -> entry.service().equals(service));
+    }
+
+    /** Returns the longest time that a caller is kept waiting. */
+    public Duration timeout() {
+        return timeout;
+    }
+
+    /** Returns the latency objective. */
+    public Duration targetLatency() {
+        return targetLatency;
+    }
+
+    /** Returns the rank, 0 first. */
+    public int priority() {
+        return priority;
+    }
+
+    /** Returns the most endpoints that may run one call. */
+    public int maximumAttempts() {
+        return maximumAttempts;
+    }
+
+    /** Tells whether turns carry only their new input and the system keeps the history. */
+    public boolean keepsHistory() {
+        return keepsHistory;
+    }
+
+    /** Returns how long the history of a turn is kept. */
+    public Duration retention() {
+        return retention;
+    }
+
+    /** Tells whether its calls are turns of programs with a token budget. */
+    public boolean budgeted() {
+        return budgeted;
+    }
+
+    /** Builds a route. */
+    public static final class Builder {
+        private RouteName name;
+        private String host;
+        private String prefix;
+        private Repeatability repeatability;
+        private Seq<WeightedService> services = Vector.empty();
+        private Duration timeout = Duration.ofSeconds(30);
+        private Duration targetLatency = Duration.ofSeconds(1);
+        private int priority;
+        private int maximumAttempts = 2;
+        private boolean keepsHistory;
+        private Duration retention = Duration.ZERO;
+        private boolean budgeted;
+
+        private Builder() {}
+
+        /** Sets the name. */
+        public Builder name(RouteName value) {
+            name = value;
+            return this;
+        }
+
+        /** Sets the host. */
+        public Builder host(String value) {
+            host = value.toLowerCase(java.util.Locale.ROOT);
+            return this;
+        }
+
+        /** Sets the path prefix. */
+        public Builder prefix(String value) {
+            prefix = value;
+            return this;
+        }
+
+        /** Sets how often calls may run. */
+        public Builder repeatability(Repeatability value) {
+            repeatability = value;
+            return this;
+        }
+
+        /** Sets the services. */
+        public Builder services(Seq<WeightedService> value) {
+            services = value;
+            return this;
+        }
+
+        /** Sets the longest wait of a caller. */
+        public Builder timeout(Duration value) {
+            timeout = value;
+            return this;
+        }
+
+        /** Sets the latency objective. */
+        public Builder targetLatency(Duration value) {
+            targetLatency = value;
+            return this;
+        }
+
+        /** Sets the rank. */
+        public Builder priority(int value) {
+            priority = value;
+            return this;
+        }
+
+        /** Sets the most endpoints for a call. */
+        public Builder maximumAttempts(int value) {
+            maximumAttempts = value;
+            return this;
+        }
+
+        /** Sets whether the system keeps the history. */
+        public Builder keepsHistory(boolean value) {
+            keepsHistory = value;
+            return this;
+        }
+
+        /** Sets how long the history is kept. */
+        public Builder retention(Duration value) {
+            retention = value;
+            return this;
+        }
+
+        /** Sets whether a token budget applies. */
+        public Builder budgeted(boolean value) {
+            budgeted = value;
+            return this;
+        }
+
+        /** Creates the route. */
+        public Route build() {
+            return new Route(this);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -0,0 +1,153 @@
+package org.tamarackfold.peer;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.log.StructuredLog;
+
+/** Uses the durable state of programs from an entry host: asks the primary of each shard. */
+public final class HistoryClient implements TurnHistory {
+    private static final StructuredLog LOG = StructuredLog.of("history");
+
+    /** Longest wait for one reply; a primary confirms within a few syncs and round trips. */
+    private static final Duration REPLY_TIMEOUT = Duration.ofMillis(700);
+
+    /** Pause before another try, in which a new layout can arrive. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
+
+    /** How long a settlement is tried; a lost one only counts a turn at its most. */
+    private static final Duration SETTLE_DEADLINE = Duration.ofSeconds(10);
+
+    private final LayoutBook layouts;
+    private final PeerChannel channel;
+    private final Scheduler scheduler;
+
+    /** Creates a client. */
+    public HistoryClient(LayoutBook layouts, PeerChannel channel, Scheduler scheduler) {
+        this.layouts = layouts;
+        this.channel = channel;
+        this.scheduler = scheduler;
+    }
+
+    private record Pending(
+            Function<Layout, ShardId> shard,
+            Function<ShardId, PeerRequest> request,
+            long endsAt,
+            CompletableFuture<PeerReply> result) {}
+
+    private CompletableFuture<PeerReply> ask(
+            Function<Layout, ShardId> shard,
+            Function<ShardId, PeerRequest> request,
+            Duration deadline) {
+        CompletableFuture<PeerReply> result = new CompletableFuture<>();
+        attempt(new Pending(shard, request, System.nanoTime() + deadline.toNanos(), result));
+        return result;
+    }
+
+    private void attempt(Pending pending) {
+        long left = pending.endsAt() - System.nanoTime();
+        if (left <= 0) {
+            pending.result().complete(new PeerReply.Unavailable("no confirmation in time"));
+            return;
+        }
+        Option<LayoutBook.Stored> stored = layouts.current();
+        if (stored.isEmpty()) {
+            retry(pending);
+            return;
+        }
+        Layout layout = stored.get().layout();
+        ShardId shard = pending.shard().apply(layout);
+        Duration timeout = Duration.ofNanos(Math.min(left, REPLY_TIMEOUT.toNanos()));
+        channel.send(
+                        layout.view(shard).primary().address(),
+                        pending.request().apply(shard),
+                        timeout)
+                .thenAccept(reply -> replied(pending, reply));
+    }
+
+    private void replied(Pending pending, PeerReply reply) {
+        switch (reply) {
+            case PeerReply.NotPrimary(), PeerReply.Unavailable(String _), PeerReply.Stale _ ->
+                    retry(pending);
+            case PeerReply.Done(),
+                    PeerReply.Exhausted(),
+                    PeerReply.Found(byte[] _),
+                    PeerReply.Absent(),
+                    PeerReply.Alive _ ->
+                    pending.result().complete(reply);
+        }
+    }
+
+    private void retry(Pending pending) {
+        scheduler.after(RETRY_PAUSE, () -> attempt(pending));
+    }
+
+    @Override
+    public CompletableFuture<Reservation> reserve(
+            ProgramId program, CallId call, long tokens, long budgetTokens, Duration deadline) {
+        return ask(
+                        layout -> layout.shardOf(program),
+                        shard ->
+                                new PeerRequest.Reserve(shard, program, call, tokens, budgetTokens),
+                        deadline)
+                .thenApply(HistoryClient::reservation);
+    }
+
+    private static Reservation reservation(PeerReply reply) {
+        return switch (reply) {
+            case PeerReply.Done() -> new Reservation.Granted();
+            case PeerReply.Exhausted() -> new Reservation.Exhausted();
+            default -> new Reservation.Unavailable(String.valueOf(reply));
+        };
+    }
+
+    @Override
+    public void settle(ProgramId program, CallId call, long tokens) {
+        ask(
+                        layout -> layout.shardOf(program),
+                        shard -> new PeerRequest.Settle(shard, program, call, tokens),
+                        SETTLE_DEADLINE)
+                .thenAccept(reply -> settled(program, call, reply));
+    }
+
+    private static void settled(ProgramId program, CallId call, PeerReply reply) {
+        if (reply instanceof PeerReply.Unavailable(String reason)) {
+            LOG.event("not_settled")
+                    .with("program", program)
+                    .with("call", call)
+                    .with("reason", reason)
+                    .warn();
+        }
+    }
+
+    @Override
+    public CompletableFuture<Lookup> lookUp(CallId turn, Duration deadline) {
+        return ask(
+                        layout -> layout.shardOf(turn),
+                        shard -> new PeerRequest.LookUp(shard, turn),
+                        deadline)
+                .thenApply(HistoryClient::lookup);
+    }
+
+    private static Lookup lookup(PeerReply reply) {
+        return switch (reply) {
+            case PeerReply.Found(byte[] text) -> new Lookup.Found(text);
+            case PeerReply.Absent() -> new Lookup.Absent();
+            default -> new Lookup.Unavailable(String.valueOf(reply));
+        };
+    }
+
+    @Override
+    public CompletableFuture<Boolean> store(
+            CallId turn, byte[] text, Duration retention, Duration deadline) {
+        return ask(
+                        layout -> layout.shardOf(turn),
+                        shard -> new PeerRequest.Store(shard, turn, text, retention),
+                        deadline)
+                .thenApply(reply -> reply instanceof PeerReply.Done);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -0,0 +1,364 @@
+package org.tamarackfold.peer;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Seq;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.errors.Failure;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.log.StructuredLog;
+
+/**
+ * Brings the members of shards up to date on a storage host. A change copies all records to the
+ * joining hosts and then replaces the layout by compare-and-swap, so that of several hosts that
+ * change the same shard one succeeds.
+ */
+public final class LayoutManager {
+    private static final StructuredLog LOG = StructuredLog.of("layout");
+
+    /** Shards of a new layout; more than enough to spread over the storage hosts of a fleet. */
+    private static final int SHARDS = 16;
+
+    /** Pause between two checks. */
+    private static final Duration INTERVAL = Duration.ofMillis(200);
+
+    /** Age of the process before it writes the first layout, so that most hosts are registered. */
+    private static final Duration FIRST_LAYOUT_AGE = Duration.ofMillis(1_500);
+
+    /** Longest wait for one batch of copied records. */
+    private static final Duration COPY_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Bytes of text in one batch of copied records. */
+    private static final long BATCH_BYTES = 256 * 1024;
+
+    private final Member self;
+    private final KeyValueService service;
+    private final SharedStateCodec codec;
+    private final LayoutBook layouts;
+    private final MemberTable members;
+    private final PeerMonitor monitor;
+    private final ShardTable shards;
+    private final LayoutPlanner planner;
+    private final PeerChannel channel;
+    private final Scheduler scheduler;
+    private final long startedAt = System.nanoTime();
+    private boolean busy;
+
+    private LayoutManager(Builder builder) {
+        this.self = builder.self;
+        this.service = builder.service;
+        this.codec = builder.codec;
+        this.layouts = builder.layouts;
+        this.members = builder.members;
+        this.monitor = builder.monitor;
+        this.shards = builder.shards;
+        this.planner = builder.planner;
+        this.channel = builder.channel;
+        this.scheduler = builder.scheduler;
+    }
+
+    /** Returns a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Starts to check. */
+    public void start() {
+        scheduler.after(INTERVAL, this::check);
+    }
+
+    /** Takes over a layout that was read from the key-value service. */
+    public void layoutRead(KeyValueService.Item item) {
+        Layout layout;
+        try {
+            layout = codec.decodeLayout(item.value());
+        } catch (IllegalArgumentException e) {
+            LOG.event("layout_malformed").with("revision", item.revision()).warn();
+            return;
+        }
+        if (!layouts.offer(new LayoutBook.Stored(layout, item.revision()))) {
+            return;
+        }
+        shards.adopt(layout);
+        LOG.event("layout_adopted")
+                .with("revision", item.revision())
+                .with("primary_of", layout.views().count(v -> isPrimary(v)))
+                .with("member_of", layout.views().count(v -> v.contains(self.store())))
+                .info();
+    }
+
+    private boolean isPrimary(View view) {
+        return view.primary().store().equals(self.store());
+    }
+
+    private void check() {
+        scheduler.after(INTERVAL, this::check);
+        Option<LayoutBook.Stored> stored = layouts.current();
+        watchPeers(stored);
+        if (busy) {
+            return;
+        }
+        if (stored.isEmpty()) {
+            writeFirstLayout();
+            return;
+        }
+        Vector<LayoutPlanner.Change> changes =
+                planner.changes(
+                        stored.get().layout(),
+                        self.store(),
+                        members.storageHosts(),
+                        monitor::isSuspected,
+                        members.retiring());
+        if (!changes.isEmpty()) {
+            bringAbout(stored.get(), changes);
+        }
+    }
+
+    private void watchPeers(Option<LayoutBook.Stored> stored) {
+        Set<Member> watched =
+                HashSet.ofAll(stored.map(s -> s.layout().views()).getOrElse(Vector.empty()))
+                        .flatMap(View::members)
+                        .addAll(members.storageHosts())
+                        .reject(member -> member.store().equals(self.store()));
+        monitor.watch(watched);
+    }
+
+    private void writeFirstLayout() {
+        if (System.nanoTime() - startedAt < FIRST_LAYOUT_AGE.toNanos()) {
+            return;
+        }
+        Option<Layout> first = planner.initial(members.storageHosts(), SHARDS);
+        if (first.isDefined()) {
+            busy = true;
+            swap(0, first.get()).thenAccept(unused -> busy = false);
+        }
+    }
+
+    private void bringAbout(LayoutBook.Stored stored, Vector<LayoutPlanner.Change> changes) {
+        busy = true;
+        CompletableFuture<Vector<View>> ready = CompletableFuture.completedFuture(Vector.empty());
+        for (LayoutPlanner.Change change : changes) {
+            View view = change.current();
+            LOG.event("change_started")
+                    .with("shard", view.shard())
+                    .with("epoch", view.epoch())
+                    .with("kept", change.kept().map(Member::host).mkString(","))
+                    .with("joining", change.joiners().map(Member::host).mkString(","))
+                    .info();
+            if (!isPrimary(view)) {
+                shards.fence(view.shard());
+            }
+            shards.startJoining(view.shard(), change.joiners());
+            ready =
+                    ready.thenCombine(
+                            copyAll(change),
+                            (views, copied) -> copied ? views.append(change.next()) : views);
+        }
+        ready.thenCompose(views -> publish(stored, changes, views))
+                .thenAccept(unused -> busy = false);
+    }
+
+    private CompletableFuture<Boolean> publish(
+            LayoutBook.Stored stored, Vector<LayoutPlanner.Change> changes, Vector<View> views) {
+        changes.filter(change -> !views.exists(v -> v.shard().equals(change.current().shard())))
+                .forEach(change -> giveUp(change.current().shard()));
+        if (views.isEmpty()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        return swap(stored.revision(), stored.layout().with(views))
+                .thenApply(
+                        decided -> {
+                            if (decided) {
+                                views.forEach(view -> giveUp(view.shard()));
+                            }
+                            return decided;
+                        });
+    }
+
+    /** Ends a change; where the new view is in force, the shard table has dropped these marks. */
+    private void giveUp(ShardId shard) {
+        shards.stopJoining(shard);
+        shards.unfence(shard);
+    }
+
+    private CompletableFuture<Boolean> copyAll(LayoutPlanner.Change change) {
+        CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
+        Vector<Vector<StoredRecord>> batches = batches(shards.snapshot(change.current().shard()));
+        for (Member joiner : change.joiners()) {
+            for (Vector<StoredRecord> batch : batches) {
+                all =
+                        all.thenCompose(
+                                good ->
+                                        good
+                                                ? copy(change.current(), joiner, batch)
+                                                : CompletableFuture.completedFuture(false));
+            }
+        }
+        return all;
+    }
+
+    private CompletableFuture<Boolean> copy(View view, Member joiner, Seq<StoredRecord> batch) {
+        PeerRequest request =
+                new PeerRequest.Append(view.shard(), view.epoch(), joiner.store(), batch);
+        return channel.send(joiner.address(), request, COPY_TIMEOUT)
+                .thenApply(reply -> reply instanceof PeerReply.Done);
+    }
+
+    private static Vector<Vector<StoredRecord>> batches(Vector<StoredRecord> records) {
+        Vector<Vector<StoredRecord>> batches = Vector.empty();
+        Vector<StoredRecord> batch = Vector.empty();
+        long bytes = 0;
+        for (StoredRecord record : records) {
+            batch = batch.append(record);
+            bytes += record instanceof StoredRecord.Turn turn ? turn.text().length : 64;
+            if (bytes >= BATCH_BYTES) {
+                batches = batches.append(batch);
+                batch = Vector.empty();
+                bytes = 0;
+            }
+        }
+        return batches.append(batch);
+    }
+
+    /**
+     * Replaces the layout. The future completes once it is certain whether the change was made or
+     * can no longer be made: a write without answer may still take effect seconds later, so it is
+     * repeated until the service answers.
+     */
+    private CompletableFuture<Boolean> swap(long expectedRevision, Layout layout) {
+        return service.write(
+                        Vector.of(
+                                new KeyValueService.Expectation(
+                                        SharedKeys.LAYOUT, expectedRevision)),
+                        Vector.of(
+                                new KeyValueService.Put(
+                                        SharedKeys.LAYOUT, codec.encode(layout), 0)),
+                        Vector.empty())
+                .thenCompose(result -> swapped(expectedRevision, layout, result));
+    }
+
+    private CompletableFuture<Boolean> swapped(
+            long expectedRevision,
+            Layout layout,
+            Either<Failure, KeyValueService.WriteResult> result) {
+        if (result.isLeft()) {
+            LOG.event("layout_write_unanswered").with("reason", result.getLeft()).warn();
+            return later(() -> swap(expectedRevision, layout));
+        }
+        boolean written = result.get() instanceof KeyValueService.WriteResult.Written;
+        LOG.event("layout_write")
+                .with("expected_revision", expectedRevision)
+                .with("written", written)
+                .info();
+        if (result.get() instanceof KeyValueService.WriteResult.Written(long revision)) {
+            layoutRead(new KeyValueService.Item(SharedKeys.LAYOUT, codec.encode(layout), revision));
+            return CompletableFuture.completedFuture(true);
+        }
+        return readBack();
+    }
+
+    private CompletableFuture<Boolean> readBack() {
+        return service.read(SharedKeys.LAYOUT)
+                .thenCompose(
+                        result -> {
+                            if (result.isLeft() || result.get().isEmpty()) {
+                                return later(this::readBack);
+                            }
+                            layoutRead(result.get().get());
+                            return CompletableFuture.completedFuture(true);
+                        });
+    }
+
+    private CompletableFuture<Boolean> later(
+            java.util.function.Supplier<CompletableFuture<Boolean>> step) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        scheduler.after(INTERVAL, () -> step.get().thenAccept(done::complete));
+        return done;
+    }
+
+    /** Builds a manager. */
+    public static final class Builder {
+        private Member self;
+        private KeyValueService service;
+        private SharedStateCodec codec;
+        private LayoutBook layouts;
+        private MemberTable members;
+        private PeerMonitor monitor;
+        private ShardTable shards;
+        private LayoutPlanner planner;
+        private PeerChannel channel;
+        private Scheduler scheduler;
+
+        private Builder() {}
+
+        /** Sets this host. */
+        public Builder self(Member value) {
+            self = value;
+            return this;
+        }
+
+        /** Sets the key-value service. */
+        public Builder service(KeyValueService value) {
+            service = value;
+            return this;
+        }
+
+        /** Sets the encoding of the layout. */
+        public Builder codec(SharedStateCodec value) {
+            codec = value;
+            return this;
+        }
+
+        /** Sets the latest layout. */
+        public Builder layouts(LayoutBook value) {
+            layouts = value;
+            return this;
+        }
+
+        /** Sets the registered hosts. */
+        public Builder members(MemberTable value) {
+            members = value;
+            return this;
+        }
+
+        /** Sets the failure detector. */
+        public Builder monitor(PeerMonitor value) {
+            monitor = value;
+            return this;
+        }
+
+        /** Sets the shards of this host. */
+        public Builder shards(ShardTable value) {
+            shards = value;
+            return this;
+        }
+
+        /** Sets the planner. */
+        public Builder planner(LayoutPlanner value) {
+            planner = value;
+            return this;
+        }
+
+        /** Sets the channel to other hosts. */
+        public Builder channel(PeerChannel value) {
+            channel = value;
+            return this;
+        }
+
+        /** Sets the scheduler. */
+        public Builder scheduler(Scheduler value) {
+            scheduler = value;
+            return this;
+        }
+
+        /** Creates the manager. */
+        public LayoutManager build() {
+            return new LayoutManager(this);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -0,0 +1,151 @@
+package org.tamarackfold.peer;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.log.StructuredLog;
+
+/**
+ * Serves the requests of other hosts on a storage host. A primary confirms a record once its own
+ * disk and the disks of all other members hold it.
+ */
+public final class ReplicaService {
+    private static final StructuredLog LOG = StructuredLog.of("replica");
+
+    /** Longest wait for one copy; a healthy host answers after one sync and one round trip. */
+    private static final Duration APPEND_TIMEOUT = Duration.ofMillis(500);
+
+    /** Pause before a copy is tried again, or under the next view. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
+
+    /** Time after which the sender of a request no longer waits for it. */
+    private static final Duration GIVE_UP = Duration.ofMillis(2_500);
+
+    private final ShardTable shards;
+    private final RecordLog log;
+    private final PeerChannel channel;
+    private final Scheduler scheduler;
+    private final InstantSource clock;
+    private final Member self;
+
+    /** Creates the service of the given storage host. */
+    public ReplicaService(
+            Member self,
+            ShardTable shards,
+            RecordLog log,
+            PeerChannel channel,
+            Scheduler scheduler,
+            InstantSource clock) {
+        this.self = self;
+        this.shards = shards;
+        this.log = log;
+        this.channel = channel;
+        this.scheduler = scheduler;
+        this.clock = clock;
+    }
+
+    /** Handles a request; the future never fails. */
+    public CompletableFuture<PeerReply> handle(PeerRequest request) {
+        return switch (request) {
+            case PeerRequest.Ping _ -> done(new PeerReply.Alive(self.store()));
+            case PeerRequest.Append append -> append(append);
+            case PeerRequest.Reserve reserve ->
+                    execute(reserve.shard(), shards.reserve(reserve, clock.millis()));
+            case PeerRequest.Settle settle ->
+                    execute(settle.shard(), shards.settle(settle, clock.millis()));
+            case PeerRequest.LookUp lookUp -> execute(lookUp.shard(), shards.lookUp(lookUp));
+            case PeerRequest.Store store ->
+                    execute(store.shard(), shards.store(store, clock.millis()));
+        };
+    }
+
+    private static CompletableFuture<PeerReply> done(PeerReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private CompletableFuture<PeerReply> append(PeerRequest.Append request) {
+        Option<PeerReply> rejection = shards.append(request);
+        if (rejection.isDefined()) {
+            return done(rejection.get());
+        }
+        if (request.records().isEmpty()) {
+            return done(new PeerReply.Done());
+        }
+        return log.append(request.shard(), request.records())
+                .thenApply(unused -> new PeerReply.Done());
+    }
+
+    private CompletableFuture<PeerReply> execute(ShardId shard, ShardTable.Decision decision) {
+        return switch (decision) {
+            case ShardTable.Decision.Reply(PeerReply reply) -> done(reply);
+            case ShardTable.Decision.Replicate(Seq<StoredRecord> records, PeerReply reply) -> {
+                CompletableFuture<Void> local =
+                        records.isEmpty()
+                                ? CompletableFuture.completedFuture(null)
+                                : log.append(shard, records);
+                long giveUpAt = System.nanoTime() + GIVE_UP.toNanos();
+                yield replicate(shard, records, giveUpAt)
+                        .thenCombine(
+                                local, (confirmed, unused) -> confirmed ? reply : unconfirmed());
+            }
+        };
+    }
+
+    private static PeerReply unconfirmed() {
+        return new PeerReply.Unavailable("not confirmed by all members");
+    }
+
+    /** Copies records to all members of the view, again under the next view when it changes. */
+    private CompletableFuture<Boolean> replicate(
+            ShardId shard, Seq<StoredRecord> records, long giveUpAt) {
+        ShardTable.Targets targets = shards.targets(shard);
+        return switch (targets) {
+            case ShardTable.Targets.None() -> CompletableFuture.completedFuture(false);
+            case ShardTable.Targets.Primary(View view, Vector<Member> others) ->
+                    copyToAll(view, others, records)
+                            .thenCompose(all -> afterCopies(view, all, shard, records, giveUpAt));
+        };
+    }
+
+    private CompletableFuture<Boolean> afterCopies(
+            View view, boolean all, ShardId shard, Seq<StoredRecord> records, long giveUpAt) {
+        if (all && stillPrimary(view)) {
+            return CompletableFuture.completedFuture(true);
+        }
+        if (System.nanoTime() - giveUpAt > 0) {
+            LOG.event("not_confirmed")
+                    .with("shard", shard)
+                    .with("epoch", view.epoch())
+                    .with("members", view.members().map(Member::host).mkString(","))
+                    .info();
+            return CompletableFuture.completedFuture(false);
+        }
+        CompletableFuture<Boolean> later = new CompletableFuture<>();
+        scheduler.after(
+                RETRY_PAUSE, () -> replicate(shard, records, giveUpAt).thenAccept(later::complete));
+        return later;
+    }
+
+    private boolean stillPrimary(View view) {
+        return shards.targets(view.shard()) instanceof ShardTable.Targets.Primary(View now, var _)
+                && now.epoch().equals(view.epoch());
+    }
+
+    private CompletableFuture<Boolean> copyToAll(
+            View view, Vector<Member> others, Seq<StoredRecord> records) {
+        CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
+        for (Member member : others) {
+            PeerRequest request =
+                    new PeerRequest.Append(view.shard(), view.epoch(), member.store(), records);
+            CompletableFuture<Boolean> copied =
+                    channel.send(member.address(), request, APPEND_TIMEOUT)
+                            .thenApply(reply -> reply instanceof PeerReply.Done);
+            all = all.thenCombine(copied, (left, right) -> left && right);
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/SharedStateCodec.java
@@ -0,0 +1,34 @@
+package org.tamarackfold.peer;
+
+/** Encodes what hosts share through the key-value service. Malformed bytes are rejected. */
+public interface SharedStateCodec {
+    /** Encodes a layout. */
+    byte[] encode(Layout layout);
+
+    /**
+     * Decodes a layout.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    Layout decodeLayout(byte[] bytes);
+
+    /** Encodes the registration of a storage host. */
+    byte[] encode(Member member);
+
+    /**
+     * Decodes the registration of a storage host.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    Member decodeMember(byte[] bytes);
+
+    /** Encodes the registration of an entry host. */
+    byte[] encode(EntryHost entry);
+
+    /**
+     * Decodes the registration of an entry host.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    EntryHost decodeEntryHost(byte[] bytes);
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/View.java
@@ -0,0 +1,30 @@
+package org.tamarackfold.peer;
+
+import io.vavr.collection.Vector;
+import org.tamarackfold.id.Epoch;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.StoreId;
+
+/**
+ * The members of a shard under one epoch. Each of them holds every confirmed record.
+ *
+ * @param shard the shard
+ * @param epoch increases with every change of the members
+ * @param members the members; the first one is the primary
+ */
+public record View(ShardId shard, Epoch epoch, Vector<Member> members) {
+    /** Returns the primary. */
+    public Member primary() {
+        return members.head();
+    }
+
+    /** Tells whether the files of a host belong to this view. */
+    public boolean contains(StoreId store) {
+        return members.exists(member -> member.store().equals(store));
+    }
+
+    /** Returns the view that follows with other members. */
+    public View withMembers(Vector<Member> next) {
+        return new View(shard, epoch.next(), next);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/package-info.java
@@ -0,0 +1,2 @@
+/** The files of a storage host. */
+package org.tamarackfold.peer.disk;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
@@ -0,0 +1,62 @@
+package org.tamarackfold.peer.http;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.peer.PeerReply;
+import org.tamarackfold.peer.PeerRequest;
+import org.tamarackfold.peer.ReplicaService;
+import org.tamarackfold.peer.thrift.MessageCodec;
+import org.tamarackfold.transport.ResponseWriter;
+
+/** Receives the messages of other hosts. */
+public final class PeerHandler implements HttpHandler {
+    private static final StructuredLog LOG = StructuredLog.of("peer");
+
+    private final ReplicaService service;
+
+    /** Creates the handler. */
+    public PeerHandler(ReplicaService service) {
+        this.service = service;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                        exchange.getRequestReceiver()
+                                .receiveFullBytes(
+                                        (received, body) ->
+                                                received.dispatch(
+                                                        SameThreadExecutor.INSTANCE,
+                                                        () -> handle(received, body))));
+    }
+
+    private void handle(HttpServerExchange exchange, byte[] body) {
+        PeerRequest request;
+        try {
+            request = MessageCodec.decodeRequest(body);
+        } catch (IllegalArgumentException e) {
+            LOG.event("message_malformed")
+                    .with("peer", exchange.getSourceAddress())
+                    .with("reason", e.getMessage())
+                    .warn();
+            exchange.setStatusCode(StatusCodes.BAD_REQUEST);
+            exchange.endExchange();
+            return;
+        }
+        service.handle(request)
+                .thenAcceptAsync(reply -> send(exchange, reply), exchange.getIoThread());
+    }
+
+    private static void send(HttpServerExchange exchange, PeerReply reply) {
+        byte[] bytes = MessageCodec.encode(reply);
+        exchange.setResponseContentLength(bytes.length);
+        ResponseWriter writer = new ResponseWriter(exchange, () -> {});
+        writer.write(bytes);
+        writer.end();
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP transport of the messages between hosts. */
+package org.tamarackfold.peer.http;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -0,0 +1,166 @@
+package org.tamarackfold.peer.thrift;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.Epoch;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.StoreId;
+import org.tamarackfold.peer.PeerReply;
+import org.tamarackfold.peer.PeerRequest;
+import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.thrift.generated.AppendStruct;
+import org.tamarackfold.peer.thrift.generated.EmptyStruct;
+import org.tamarackfold.peer.thrift.generated.LookUpStruct;
+import org.tamarackfold.peer.thrift.generated.PingStruct;
+import org.tamarackfold.peer.thrift.generated.ReplyStruct;
+import org.tamarackfold.peer.thrift.generated.RequestStruct;
+import org.tamarackfold.peer.thrift.generated.ReserveStruct;
+import org.tamarackfold.peer.thrift.generated.SettleStruct;
+import org.tamarackfold.peer.thrift.generated.StoreStruct;
+
+/** Encodes the messages between hosts. */
+public final class MessageCodec {
+    private MessageCodec() {}
+
+    /** Encodes a request. */
+    public static byte[] encode(PeerRequest request) {
+        return ThriftBytes.encode(struct(request));
+    }
+
+    private static RequestStruct struct(PeerRequest request) {
+        return switch (request) {
+            case PeerRequest.Reserve(
+                            ShardId shard,
+                            ProgramId program,
+                            CallId call,
+                            long tokens,
+                            long budget) ->
+                    RequestStruct.reserve(
+                            new ReserveStruct(
+                                    shard.value(), program.value(), call.value(), tokens, budget));
+            case PeerRequest.Settle(ShardId shard, ProgramId program, CallId call, long tokens) ->
+                    RequestStruct.settle(
+                            new SettleStruct(shard.value(), program.value(), call.value(), tokens));
+            case PeerRequest.LookUp(ShardId shard, CallId call) ->
+                    RequestStruct.lookUp(new LookUpStruct(shard.value(), call.value()));
+            case PeerRequest.Store(ShardId shard, CallId call, byte[] text, Duration retention) ->
+                    RequestStruct.store(
+                            new StoreStruct(
+                                    shard.value(),
+                                    call.value(),
+                                    ByteBuffer.wrap(text),
+                                    retention.toMillis()));
+            case PeerRequest.Append(
+                            ShardId shard,
+                            Epoch epoch,
+                            StoreId target,
+                            Seq<StoredRecord> records) ->
+                    RequestStruct.append(
+                            new AppendStruct(
+                                    shard.value(),
+                                    epoch.value(),
+                                    target.value(),
+                                    records.map(RecordCodec::struct).toJavaList()));
+            case PeerRequest.Ping(HostId sender) ->
+                    RequestStruct.ping(new PingStruct(sender.value()));
+        };
+    }
+
+    /**
+     * Decodes a request.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    public static PeerRequest decodeRequest(byte[] bytes) {
+        RequestStruct struct = ThriftBytes.decode(bytes, new RequestStruct());
+        if (struct.getSetField() == null) {
+            throw new IllegalArgumentException("Request has no known kind");
+        }
+        return switch (struct.getSetField()) {
+            case RESERVE -> reserve(struct.getReserve());
+            case SETTLE -> settle(struct.getSettle());
+            case LOOK_UP ->
+                    new PeerRequest.LookUp(
+                            new ShardId(struct.getLookUp().getShard()),
+                            new CallId(struct.getLookUp().getCall()));
+            case STORE -> store(struct.getStore());
+            case APPEND -> append(struct.getAppend());
+            case PING -> new PeerRequest.Ping(new HostId(struct.getPing().getHost()));
+        };
+    }
+
+    private static PeerRequest reserve(ReserveStruct struct) {
+        return new PeerRequest.Reserve(
+                new ShardId(struct.getShard()),
+                new ProgramId(struct.getProgram()),
+                new CallId(struct.getCall()),
+                struct.getTokens(),
+                struct.getBudgetTokens());
+    }
+
+    private static PeerRequest settle(SettleStruct struct) {
+        return new PeerRequest.Settle(
+                new ShardId(struct.getShard()),
+                new ProgramId(struct.getProgram()),
+                new CallId(struct.getCall()),
+                struct.getTokens());
+    }
+
+    private static PeerRequest store(StoreStruct struct) {
+        return new PeerRequest.Store(
+                new ShardId(struct.getShard()),
+                new CallId(struct.getCall()),
+                struct.getText(),
+                Duration.ofMillis(struct.getRetentionMillis()));
+    }
+
+    private static PeerRequest append(AppendStruct struct) {
+        return new PeerRequest.Append(
+                new ShardId(struct.getShard()),
+                new Epoch(struct.getEpoch()),
+                new StoreId(struct.getTargetStore()),
+                Vector.ofAll(struct.getRecords()).map(RecordCodec::record));
+    }
+
+    /** Encodes a reply. */
+    public static byte[] encode(PeerReply reply) {
+        return ThriftBytes.encode(
+                switch (reply) {
+                    case PeerReply.Done() -> ReplyStruct.done(new EmptyStruct());
+                    case PeerReply.Exhausted() -> ReplyStruct.exhausted(new EmptyStruct());
+                    case PeerReply.Found(byte[] text) -> ReplyStruct.found(ByteBuffer.wrap(text));
+                    case PeerReply.Absent() -> ReplyStruct.absent(new EmptyStruct());
+                    case PeerReply.NotPrimary() -> ReplyStruct.notPrimary(new EmptyStruct());
+                    case PeerReply.Stale(Epoch epoch) -> ReplyStruct.staleEpoch(epoch.value());
+                    case PeerReply.Unavailable(String reason) -> ReplyStruct.unavailable(reason);
+                    case PeerReply.Alive(StoreId store) -> ReplyStruct.storeId(store.value());
+                });
+    }
+
+    /**
+     * Decodes a reply.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    public static PeerReply decodeReply(byte[] bytes) {
+        ReplyStruct struct = ThriftBytes.decode(bytes, new ReplyStruct());
+        if (struct.getSetField() == null) {
+            throw new IllegalArgumentException("Reply has no known kind");
+        }
+        return switch (struct.getSetField()) {
+            case DONE -> new PeerReply.Done();
+            case EXHAUSTED -> new PeerReply.Exhausted();
+            case FOUND -> new PeerReply.Found(struct.getFound());
+            case ABSENT -> new PeerReply.Absent();
+            case NOT_PRIMARY -> new PeerReply.NotPrimary();
+            case STALE_EPOCH -> new PeerReply.Stale(new Epoch(struct.getStaleEpoch()));
+            case UNAVAILABLE -> new PeerReply.Unavailable(struct.getUnavailable());
+            case STORE_ID -> new PeerReply.Alive(new StoreId(struct.getStoreId()));
+        };
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftBytes.java
@@ -0,0 +1,36 @@
+package org.tamarackfold.peer.thrift;
+
+import org.apache.thrift.TBase;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+
+/** Encodes Thrift structures in the compact protocol. */
+final class ThriftBytes {
+    private static final TCompactProtocol.Factory PROTOCOL = new TCompactProtocol.Factory();
+
+    private ThriftBytes() {}
+
+    static byte[] encode(TBase<?, ?> structure) {
+        try {
+            return new TSerializer(PROTOCOL).serialize(structure);
+        } catch (TException e) {
+            throw new IllegalStateException("Structure cannot be encoded: " + structure, e);
+        }
+    }
+
+    /**
+     * Decodes into a structure.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    static <T extends TBase<?, ?>> T decode(byte[] bytes, T structure) {
+        try {
+            new TDeserializer(PROTOCOL).deserialize(structure, bytes);
+            return structure;
+        } catch (TException e) {
+            throw new IllegalArgumentException("Message is malformed: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
@@ -0,0 +1,89 @@
+package org.tamarackfold.peer.thrift;
+
+import io.vavr.collection.Vector;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.Epoch;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.StoreId;
+import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.Layout;
+import org.tamarackfold.peer.Member;
+import org.tamarackfold.peer.SharedStateCodec;
+import org.tamarackfold.peer.View;
+import org.tamarackfold.peer.thrift.generated.EntryHostStruct;
+import org.tamarackfold.peer.thrift.generated.LayoutStruct;
+import org.tamarackfold.peer.thrift.generated.MemberStruct;
+import org.tamarackfold.peer.thrift.generated.ViewStruct;
+
+/** Thrift encoding of the shared state. */
+public final class ThriftSharedStateCodec implements SharedStateCodec {
+    @Override
+    public byte[] encode(Layout layout) {
+        return ThriftBytes.encode(
+                new LayoutStruct(layout.views().map(ThriftSharedStateCodec::struct).toJavaList()));
+    }
+
+    private static ViewStruct struct(View view) {
+        return new ViewStruct(
+                view.shard().value(),
+                view.epoch().value(),
+                view.members().map(ThriftSharedStateCodec::struct).toJavaList());
+    }
+
+    private static MemberStruct struct(Member member) {
+        return new MemberStruct(
+                member.host().value(),
+                member.store().value(),
+                member.address().toString(),
+                member.zone().value());
+    }
+
+    @Override
+    public Layout decodeLayout(byte[] bytes) {
+        LayoutStruct struct = ThriftBytes.decode(bytes, new LayoutStruct());
+        return new Layout(Vector.ofAll(struct.getViews()).map(ThriftSharedStateCodec::view));
+    }
+
+    private static View view(ViewStruct struct) {
+        return new View(
+                new ShardId(struct.getShard()),
+                new Epoch(struct.getEpoch()),
+                Vector.ofAll(struct.getMembers()).map(ThriftSharedStateCodec::member));
+    }
+
+    private static Member member(MemberStruct struct) {
+        return new Member(
+                new HostId(struct.getHost()),
+                new StoreId(struct.getStore()),
+                Address.parse(struct.getAddress()),
+                new AvailabilityZone(struct.getZone()));
+    }
+
+    @Override
+    public byte[] encode(Member member) {
+        return ThriftBytes.encode(struct(member));
+    }
+
+    @Override
+    public Member decodeMember(byte[] bytes) {
+        return member(ThriftBytes.decode(bytes, new MemberStruct()));
+    }
+
+    @Override
+    public byte[] encode(EntryHost entry) {
+        return ThriftBytes.encode(
+                new EntryHostStruct(
+                        entry.host().value(), entry.address().toString(), entry.zone().value()));
+    }
+
+    @Override
+    public EntryHost decodeEntryHost(byte[] bytes) {
+        EntryHostStruct struct = ThriftBytes.decode(bytes, new EntryHostStruct());
+        return new EntryHost(
+                new HostId(struct.getHost()),
+                Address.parse(struct.getAddress()),
+                new AvailabilityZone(struct.getZone()));
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/package-info.java
@@ -0,0 +1,2 @@
+/** Thrift encoding of the messages and records of hosts. */
+package org.tamarackfold.peer.thrift;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
@@ -0,0 +1,181 @@
+package org.tamarackfold.settings.toml;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.settings.HostRole;
+import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.settings.KeyValueSettings;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.dataformat.toml.TomlMapper;
+
+/** Reads and checks a settings file. All errors are reported together, each with its key. */
+public final class SettingsFile {
+    private static final Map<String, Set<String>> KNOWN_KEYS =
+            HashMap.of(
+                    "",
+                    HashSet.of(
+                            "role",
+                            "host",
+                            "availability_zone",
+                            "adapter",
+                            "listeners",
+                            "key_value",
+                            "storage",
+                            "shutdown",
+                            "directory"),
+                    "listeners",
+                    HashSet.of("callers", "readiness", "directory", "peers", "metrics"),
+                    "key_value",
+                    HashSet.of("address", "minimum_lease_ms"),
+                    "storage",
+                    HashSet.of("folder", "disk_mb", "tolerated_losses"),
+                    "shutdown",
+                    HashSet.of("grace_s"),
+                    "directory",
+                    HashSet.of("time_to_live_ms"));
+
+    private static final double MAXIMUM_SECONDS = 3600;
+
+    private final String file;
+    private final JsonNode root;
+    private Vector<String> errors = Vector.empty();
+
+    private SettingsFile(String file, JsonNode root) {
+        this.file = file;
+        this.root = root;
+    }
+
+    /** Reads a file; left are the errors, one a line. */
+    public static Either<Vector<String>, HostSettings> read(Path path) {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(Files.readString(path));
+        } catch (IOException e) {
+            return Either.left(Vector.of(path + ": cannot be read: " + e));
+        } catch (JacksonException e) {
+            return Either.left(Vector.of(path + ": is not TOML: " + e.getOriginalMessage()));
+        }
+        SettingsFile reader = new SettingsFile(path.getFileName().toString(), root);
+        HostSettings settings = reader.settings();
+        return reader.errors.isEmpty() ? Either.right(settings) : Either.left(reader.errors);
+    }
+
+    private HostSettings settings() {
+        checkKeys("", root);
+        for (String table : KNOWN_KEYS.keySet().reject(String::isEmpty)) {
+            checkKeys(table, root.path(table));
+        }
+        String role = text("", "role");
+        HostSettings.Builder builder = HostSettings.builder();
+        if ("entry".equals(role) || "storage".equals(role)) {
+            builder.role("entry".equals(role) ? HostRole.ENTRY : HostRole.STORAGE);
+        } else {
+            error("role", "must be entry or storage, is " + role);
+        }
+        try {
+            fill(builder, "entry".equals(role));
+            return errors.isEmpty() ? builder.build() : null;
+        } catch (IllegalArgumentException e) {
+            errors = errors.append(file + ": " + e.getMessage());
+            return null;
+        }
+    }
+
+    private void fill(HostSettings.Builder builder, boolean entry) {
+        builder.host(new HostId(text("", "host")))
+                .zone(new AvailabilityZone(text("", "availability_zone")))
+                .adapter(text("", "adapter"))
+                .peers(address("listeners", "peers"))
+                .metrics(address("listeners", "metrics"))
+                .keyValue(
+                        new KeyValueSettings(
+                                address("key_value", "address"),
+                                Duration.ofMillis(
+                                        number("key_value", "minimum_lease_ms", 1, 600_000))))
+                .toleratedLosses(number("storage", "tolerated_losses", 0, 16))
+                .shutdownGrace(seconds("shutdown", "grace_s"))
+                .directoryTimeToLive(
+                        Duration.ofMillis(number("directory", "time_to_live_ms", 100, 60_000)));
+        if (entry) {
+            builder.callers(Option.some(address("listeners", "callers")))
+                    .readiness(Option.some(address("listeners", "readiness")))
+                    .directory(Option.some(address("listeners", "directory")));
+            return;
+        }
+        builder.dataFolder(Option.some(Path.of(text("storage", "folder"))))
+                .diskMegabytes(number("storage", "disk_mb", 1, 10_000_000));
+    }
+
+    private void checkKeys(String table, JsonNode node) {
+        Set<String> known = KNOWN_KEYS.get(table).get();
+        for (String key : node.propertyNames()) {
+            if (!known.contains(key)) {
+                error(qualified(table, key), "is not a known key");
+            }
+        }
+    }
+
+    private JsonNode node(String table, String key) {
+        return (table.isEmpty() ? root : root.path(table)).path(key);
+    }
+
+    private String text(String table, String key) {
+        JsonNode node = node(table, key);
+        if (!node.isString() || node.asString().isEmpty()) {
+            error(qualified(table, key), "is missing; a text is expected");
+            return "missing";
+        }
+        return node.asString();
+    }
+
+    private Address address(String table, String key) {
+        String text = text(table, key);
+        try {
+            return Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            error(qualified(table, key), "must be ip:port, is " + text);
+            return new Address("0.0.0.0", 1);
+        }
+    }
+
+    private int number(String table, String key, int minimum, int maximum) {
+        JsonNode node = node(table, key);
+        if (!node.isNumber() || node.asInt() < minimum || node.asInt() > maximum) {
+            error(
+                    qualified(table, key),
+                    "must be a number from " + minimum + " to " + maximum + ", is " + node);
+            return minimum;
+        }
+        return node.asInt();
+    }
+
+    private Duration seconds(String table, String key) {
+        JsonNode node = node(table, key);
+        if (!node.isNumber() || node.asDouble() <= 0 || node.asDouble() > MAXIMUM_SECONDS) {
+            error(qualified(table, key), "must be a number of seconds, is " + node);
+            return Duration.ofSeconds(1);
+        }
+        return Duration.ofMillis(Math.round(node.asDouble() * 1000));
+    }
+
+    private static String qualified(String table, String key) {
+        return table.isEmpty() ? key : table + "." + key;
+    }
+
+    private void error(String key, String message) {
+        errors = errors.append(file + ": " + key + " " + message);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files in TOML. */
+package org.tamarackfold.settings.toml;
--- a/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -4,8 +4,9 @@
 public enum LockRank {
     RELEASE,
     MEMBERS,
+    LAYOUT,
     ENDPOINTS,
-    PROGRAMS,
-    WITNESS,
-    ADMISSION
+    CALLS,
+    SHARDS,
+    HISTORY
 }
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpRequest.java
@@ -0,0 +1,123 @@
+package org.tamarackfold.transport;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import java.time.Duration;
+import java.util.Objects;
+import org.tamarackfold.id.Address;
+
+/** One request of the pooled client. */
+public final class HttpRequest {
+    private static final byte[] NO_BODY = {};
+
+    private final Address address;
+    private final HttpString method;
+    private final String path;
+    private final HeaderMap headers;
+    private final byte[] body;
+    private final Duration connectTimeout;
+    private final Duration responseTimeout;
+
+    private HttpRequest(Builder builder) {
+        this.address = Objects.requireNonNull(builder.address);
+        this.method = builder.method;
+        this.path = Objects.requireNonNull(builder.path);
+        this.headers = builder.headers;
+        this.body = builder.body;
+        this.connectTimeout = builder.connectTimeout;
+        this.responseTimeout = builder.responseTimeout;
+    }
+
+    /** Returns a builder. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    Address address() {
+        return address;
+    }
+
+    HttpString method() {
+        return method;
+    }
+
+    String path() {
+        return path;
+    }
+
+    HeaderMap headers() {
+        return headers;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    Duration connectTimeout() {
+        return connectTimeout;
+    }
+
+    Duration responseTimeout() {
+        return responseTimeout;
+    }
+
+    /** Builds a request. */
+    public static final class Builder {
+        private Address address;
+        private HttpString method = new HttpString("GET");
+        private String path;
+        private HeaderMap headers = new HeaderMap();
+        private byte[] body = NO_BODY;
+        private Duration connectTimeout = Duration.ofSeconds(1);
+        private Duration responseTimeout = Duration.ofSeconds(1);
+
+        private Builder() {}
+
+        /** Sets the peer. */
+        public Builder address(Address value) {
+            address = value;
+            return this;
+        }
+
+        /** Sets the method; GET by default. */
+        public Builder method(HttpString value) {
+            method = value;
+            return this;
+        }
+
+        /** Sets the path with its query. */
+        public Builder path(String value) {
+            path = value;
+            return this;
+        }
+
+        /** Sets the headers; the client adds the length. */
+        public Builder headers(HeaderMap value) {
+            headers = value;
+            return this;
+        }
+
+        /** Sets the body. */
+        public Builder body(byte[] value) {
+            body = value;
+            return this;
+        }
+
+        /** Sets the longest wait for a new connection. */
+        public Builder connectTimeout(Duration value) {
+            connectTimeout = value;
+            return this;
+        }
+
+        /** Sets the longest time from sending to the end of the response. */
+        public Builder responseTimeout(Duration value) {
+            responseTimeout = value;
+            return this;
+        }
+
+        /** Creates the request. */
+        public HttpRequest build() {
+            return new HttpRequest(this);
+        }
+    }
+}
