--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
@@ -0,0 +1,251 @@
+package org.tamarackfold.standin;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.errors.Failure;
+import org.tamarackfold.errors.FailureCode;
+import org.tamarackfold.errors.Party;
+import org.tamarackfold.errors.Step;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.time.Scheduler;
+
+/** Key-value service in memory, with outages and lost answers on demand. */
+public final class MemoryKeyValueService implements KeyValueService {
+    private static final Duration ANSWER_TIME = Duration.ofMillis(4);
+
+    private record Stored(byte[] value, long revision, long lease) {}
+
+    private record Watch(
+            String prefix, long after, CompletableFuture<Either<Failure, WatchResult>> result) {}
+
+    private final Scheduler scheduler;
+    private final TreeMap<String, Stored> items = new TreeMap<>();
+    private final List<Change> history = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private final Map<Long, Long> leaseEnds = new HashMap<>();
+    private final Map<Long, Duration> leaseDurations = new HashMap<>();
+    private long revision = 1;
+    private long nextLease = 1;
+    private boolean down;
+    private boolean losingAnswers;
+
+    /** Creates an empty service. */
+    public MemoryKeyValueService(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    /** Starts or ends an outage, in which every call fails without effect. */
+    public void setDown(boolean value) {
+        down = value;
+    }
+
+    /** Starts or ends a time in which writes take effect and are not answered. */
+    public void setLosingAnswers(boolean value) {
+        losingAnswers = value;
+    }
+
+    private <T> CompletableFuture<Either<Failure, T>> answer(
+            java.util.function.Supplier<Either<Failure, T>> call) {
+        CompletableFuture<Either<Failure, T>> result = new CompletableFuture<>();
+        scheduler.after(
+                ANSWER_TIME,
+                () -> {
+                    expireLeases();
+                    result.complete(down ? Either.left(failure()) : call.get());
+                });
+        return result;
+    }
+
+    private static Failure failure() {
+        return Failure.notRun(
+                FailureCode.SERVICE_UNAVAILABLE, Step.CONNECT, new Party.KeyValueService(), "down");
+    }
+
+    private void expireLeases() {
+        long now = scheduler.nanoTime();
+        Iterator<Map.Entry<Long, Long>> leases = leaseEnds.entrySet().iterator();
+        while (leases.hasNext()) {
+            Map.Entry<Long, Long> lease = leases.next();
+            if (lease.getValue() - now < 0) {
+                leases.remove();
+                removeKeysOf(lease.getKey());
+            }
+        }
+    }
+
+    private void removeKeysOf(long lease) {
+        List<String> keys =
+                items.entrySet().stream()
+                        .filter(entry -> entry.getValue().lease() == lease)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        keys.forEach(this::remove);
+    }
+
+    private void remove(String key) {
+        if (items.remove(key) != null) {
+            publish(new Change.Removed(key, ++revision));
+        }
+    }
+
+    private void publish(Change change) {
+        history.add(change);
+        List<Watch> ready =
+                watches.stream().filter(w -> key(change).startsWith(w.prefix())).toList();
+        watches.removeAll(ready);
+        ready.forEach(watch -> scheduler.after(ANSWER_TIME, () -> complete(watch)));
+    }
+
+    private static String key(Change change) {
+        return switch (change) {
+            case Change.Written(Item item) -> item.key();
+            case Change.Removed(String key, long _) -> key;
+        };
+    }
+
+    private static long revisionOf(Change change) {
+        return switch (change) {
+            case Change.Written(Item item) -> item.revision();
+            case Change.Removed(String _, long removedAt) -> removedAt;
+        };
+    }
+
+    private void complete(Watch watch) {
+        Vector<Change> changes =
+                Vector.ofAll(history)
+                        .filter(change -> revisionOf(change) > watch.after())
+                        .filter(change -> key(change).startsWith(watch.prefix()));
+        watch.result()
+                .complete(
+                        down
+                                ? Either.left(failure())
+                                : Either.right(new WatchResult.Changes(changes, revision)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Option<Item>>> read(String key) {
+        return answer(() -> Either.right(Option.of(items.get(key)).map(s -> item(key, s))));
+    }
+
+    private static Item item(String key, Stored stored) {
+        return new Item(key, stored.value(), stored.revision());
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Listing>> list(String prefix) {
+        return answer(
+                () ->
+                        Either.right(
+                                new Listing(
+                                        Vector.ofAll(items.entrySet())
+                                                .filter(e -> e.getKey().startsWith(prefix))
+                                                .map(e -> item(e.getKey(), e.getValue())),
+                                        revision)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, WatchResult>> watch(
+            String prefix, long after, Duration wait) {
+        Watch watch = new Watch(prefix, after, new CompletableFuture<>());
+        boolean ready =
+                down
+                        || history.stream()
+                                .anyMatch(
+                                        change ->
+                                                revisionOf(change) > after
+                                                        && key(change).startsWith(prefix));
+        if (ready) {
+            scheduler.after(ANSWER_TIME, () -> complete(watch));
+            return watch.result();
+        }
+        watches.add(watch);
+        scheduler.after(
+                wait,
+                () -> {
+                    if (watches.remove(watch)) {
+                        complete(watch);
+                    }
+                });
+        return watch.result();
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, WriteResult>> write(
+            Seq<Expectation> expectations, Seq<Put> puts, Seq<String> removals) {
+        return answer(
+                () -> {
+                    WriteResult result = apply(expectations, puts, removals);
+                    return losingAnswers ? Either.left(lostAnswer()) : Either.right(result);
+                });
+    }
+
+    private static Failure lostAnswer() {
+        return Failure.unknown(
+                FailureCode.SERVICE_UNAVAILABLE, Step.CONNECT, new Party.KeyValueService(), "lost");
+    }
+
+    private WriteResult apply(Seq<Expectation> expectations, Seq<Put> puts, Seq<String> removals) {
+        boolean holds =
+                expectations.forAll(
+                        e ->
+                                Option.of(items.get(e.key())).map(Stored::revision).getOrElse(0L)
+                                        == e.revision());
+        if (!holds) {
+            return new WriteResult.Conflict();
+        }
+        if (puts.exists(put -> put.lease() != 0 && !leaseEnds.containsKey(put.lease()))) {
+            return new WriteResult.LeaseEnded();
+        }
+        revision++;
+        for (Put put : puts) {
+            items.put(put.key(), new Stored(put.value(), revision, put.lease()));
+            publish(new Change.Written(new Item(put.key(), put.value(), revision)));
+        }
+        removals.forEach(this::remove);
+        return new WriteResult.Written(revision);
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Long>> grantLease(Duration duration) {
+        return answer(
+                () -> {
+                    long lease = nextLease++;
+                    leaseDurations.put(lease, duration);
+                    leaseEnds.put(lease, scheduler.nanoTime() + duration.toNanos());
+                    return Either.right(lease);
+                });
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Boolean>> renewLease(long lease) {
+        return answer(
+                () -> {
+                    if (!leaseEnds.containsKey(lease)) {
+                        return Either.right(false);
+                    }
+                    long end = scheduler.nanoTime() + leaseDurations.get(lease).toNanos();
+                    leaseEnds.put(lease, end);
+                    return Either.right(true);
+                });
+    }
+
+    @Override
+    public CompletableFuture<Either<Failure, Boolean>> endLease(long lease) {
+        return answer(
+                () -> {
+                    boolean known = leaseEnds.remove(lease) != null;
+                    removeKeysOf(lease);
+                    return Either.right(known);
+                });
+    }
+}
--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryRecordLog.java
@@ -0,0 +1,53 @@
+package org.tamarackfold.standin;
+
+import io.vavr.collection.Seq;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.peer.RecordLog;
+import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.time.Scheduler;
+
+/** Log whose records become durable after a sync time and are lost before it. */
+public final class MemoryRecordLog implements RecordLog {
+    private record Entry(ShardId shard, StoredRecord record) {}
+
+    private final Scheduler scheduler;
+    private final Duration syncTime;
+    private final List<Entry> durable = new ArrayList<>();
+    private int life;
+
+    /** Creates an empty log. */
+    public MemoryRecordLog(Scheduler scheduler, Duration syncTime) {
+        this.scheduler = scheduler;
+        this.syncTime = syncTime;
+    }
+
+    @Override
+    public CompletableFuture<Void> append(ShardId shard, Seq<StoredRecord> records) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        int writtenIn = life;
+        scheduler.after(
+                syncTime,
+                () -> {
+                    if (life == writtenIn) {
+                        records.forEach(record -> durable.add(new Entry(shard, record)));
+                        done.complete(null);
+                    }
+                });
+        return done;
+    }
+
+    /** Loses what is not durable, as a loss of power does. */
+    public void loseUnsynced() {
+        life++;
+    }
+
+    /** Passes on what is durable. */
+    public void replay(BiConsumer<ShardId, StoredRecord> consumer) {
+        durable.forEach(entry -> consumer.accept(entry.shard(), entry.record()));
+    }
+}
--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/ScriptedEndpoint.java
@@ -0,0 +1,220 @@
+package org.tamarackfold.standin.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tamarackfold.id.Address;
+
+/**
+ * Endpoint that answers each request with scripted bytes, so that tests can break the protocol at
+ * any byte.
+ */
+public final class ScriptedEndpoint implements AutoCloseable {
+    /** A step of an answer. */
+    public sealed interface Step {
+        /**
+         * Sends bytes as they are.
+         *
+         * @param text the bytes in Latin-1
+         */
+        record Send(String text) implements Step {}
+
+        /**
+         * Waits.
+         *
+         * @param millis the time, in milliseconds
+         */
+        record Pause(long millis) implements Step {}
+
+        /** Closes the connection in order. */
+        record Close() implements Step {}
+
+        /** Resets the connection. */
+        record Reset() implements Step {}
+    }
+
+    /**
+     * A request that has arrived.
+     *
+     * @param head the request line and headers
+     * @param body the body in Latin-1
+     */
+    public record Received(String head, String body) {
+        /** Returns a header; empty when absent. */
+        public String header(String name) {
+            for (String line : head.split("\r\n")) {
+                int colon = line.indexOf(':');
+                if (colon > 0 && line.substring(0, colon).equalsIgnoreCase(name)) {
+                    return line.substring(colon + 1).trim();
+                }
+            }
+            return "";
+        }
+    }
+
+    private final ServerSocket server;
+    private final BlockingQueue<List<Step>> script = new LinkedBlockingQueue<>();
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final AtomicInteger closedByPeer = new AtomicInteger();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    /** Starts an endpoint on a free port of the loopback interface. */
+    public ScriptedEndpoint() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread.ofVirtual().start(this::acceptLoop);
+    }
+
+    /** Returns the address. */
+    public Address address() {
+        return new Address("127.0.0.1", server.getLocalPort());
+    }
+
+    /** Adds the answer to one more request. */
+    public ScriptedEndpoint answer(Step... steps) {
+        script.add(List.of(steps));
+        return this;
+    }
+
+    /** Adds a whole answer with status, headers (lines without line end) and body. */
+    public ScriptedEndpoint answer(String status, String headers, String body) {
+        return answer(new Step.Send(whole(status, headers, body)));
+    }
+
+    /** Returns the bytes of a whole answer. */
+    public static String whole(String status, String headers, String body) {
+        StringBuilder text = new StringBuilder("HTTP/1.1 " + status + "\r\n");
+        if (!headers.isEmpty()) {
+            text.append(headers).append("\r\n");
+        }
+        text.append("Content-Length: ").append(body.length()).append("\r\n\r\n").append(body);
+        return text.toString();
+    }
+
+    /** Returns the requests that have arrived. */
+    public List<Received> received() {
+        return new ArrayList<>(received);
+    }
+
+    /** Returns how many connections the peer has closed while an answer was under way. */
+    public int closedByPeer() {
+        return closedByPeer.get();
+    }
+
+    private void acceptLoop() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                Thread.ofVirtual().start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The endpoint has been closed.
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            while (true) {
+                Received request = read(in);
+                if (request == null) {
+                    return;
+                }
+                received.add(request);
+                List<Step> steps = script.poll(2, TimeUnit.SECONDS);
+                if (steps == null || !play(steps, socket)) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            closedByPeer.incrementAndGet();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns whether the connection stays open. */
+    private boolean play(List<Step> steps, Socket socket) throws IOException, InterruptedException {
+        OutputStream out = socket.getOutputStream();
+        for (Step step : steps) {
+            switch (step) {
+                case Step.Send(String text) -> {
+                    out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+                    out.flush();
+                }
+                case Step.Pause(long millis) -> waitWatching(socket, millis);
+                case Step.Close() -> {
+                    return false;
+                }
+                case Step.Reset() -> {
+                    socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private static void waitWatching(Socket socket, long millis) throws IOException {
+        socket.setSoTimeout((int) Math.max(1, millis));
+        try {
+
+            if (socket.getInputStream().read() < 0) {
+                throw new IOException("closed by the peer");
+            }
+        } catch (java.net.SocketTimeoutException e) {
+            // The peer has kept the connection for the whole pause.
+            socket.setSoTimeout(0);
+        }
+    }
+
+    private static Received read(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.append((char) next);
+        }
+        int length = contentLength(head.toString());
+        return new Received(
+                head.toString(), new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+    }
+
+    private static int contentLength(String head) {
+        for (String line : head.toLowerCase(Locale.ROOT).split("\r\n")) {
+            if (line.startsWith("content-length:")) {
+                return Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+            }
+        }
+        return 0;
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes that speak HTTP over sockets. */
+package org.tamarackfold.standin.http;
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -0,0 +1,214 @@
+package org.tamarackfold.caller.http;
+
+import io.undertow.Undertow;
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.id.ReleaseVersion;
+import org.tamarackfold.id.RouteName;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.metrics.NodeMetrics;
+import org.tamarackfold.operator.CallerLimits;
+import org.tamarackfold.operator.Release;
+import org.tamarackfold.operator.ReleaseBook;
+import org.tamarackfold.operator.Repeatability;
+import org.tamarackfold.operator.Route;
+import org.tamarackfold.operator.ServiceDefinition;
+import org.tamarackfold.operator.WeightedService;
+import org.tamarackfold.peer.TurnHistory;
+import org.tamarackfold.standin.http.ScriptedEndpoint;
+import org.tamarackfold.transport.HttpClientPool;
+import org.tamarackfold.transport.IoRuntime;
+
+/** An entry host on loopback with scripted endpoints behind it. */
+final class EntryFixture implements AutoCloseable {
+    static final ServiceName SERVICE = new ServiceName("service");
+
+    final MemoryHistory history = new MemoryHistory();
+    final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    final EndpointTable table = new EndpointTable(new AvailabilityZone("a"), new Random(1));
+    private final IoRuntime runtime;
+    private final Undertow server;
+    private final int port;
+
+    EntryFixture(int endpointCount) throws IOException {
+        runtime = IoRuntime.start(1);
+        ReleaseBook releases = new ReleaseBook();
+        releases.offer(release());
+        for (int i = 0; i < endpointCount; i++) {
+            ScriptedEndpoint endpoint = new ScriptedEndpoint();
+            endpoints.add(endpoint);
+            table.put(
+                    new EndpointRecord(
+                            new EndpointId("engine-" + i),
+                            SERVICE,
+                            endpoint.address(),
+                            new AvailabilityZone("a"),
+                            4,
+                            false,
+                            1));
+        }
+        CallContext context =
+                new CallContext(
+                        CallHeaders.OWN,
+                        releases,
+                        table,
+                        new HttpClientPool(runtime, Duration.ofSeconds(4).toNanos()),
+                        history,
+                        new NodeMetrics(),
+                        new Random(1));
+        port = freePort();
+        server =
+                Undertow.builder()
+                        .setWorker(runtime.worker())
+                        .setByteBufferPool(runtime.buffers())
+                        .addHttpListener(port, "127.0.0.1", new CallHandler(context))
+                        .build();
+        server.start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Release release() {
+        return new Release(
+                new ReleaseVersion(1),
+                Vector.of(
+                        route("safe", Repeatability.IDEMPOTENT, 2),
+                        route("unsafe", Repeatability.AT_MOST_ONCE, 1),
+                        route("stream", Repeatability.AT_MOST_ONCE_STREAM, 1),
+                        route("turns", Repeatability.AT_MOST_ONCE_STREAM, 1)),
+                Vector.of(new ServiceDefinition(SERVICE, "/health", 10, 5, 4)),
+                new CallerLimits(16_384, 100_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+    }
+
+    private static Route route(String name, Repeatability repeatability, int attempts) {
+        return Route.builder()
+                .name(new RouteName(name))
+                .host("h.example")
+                .prefix("/" + name + "/")
+                .repeatability(repeatability)
+                .services(Vector.of(new WeightedService(SERVICE, 1)))
+                .timeout(Duration.ofMillis(800))
+                .maximumAttempts(attempts)
+                .keepsHistory(name.equals("turns"))
+                .retention(Duration.ofSeconds(60))
+                .budgeted(repeatability.isStream())
+                .build();
+    }
+
+    ScriptedEndpoint endpoint() {
+        return endpoints.getFirst();
+    }
+
+    int arrivals() {
+        return endpoints.stream().mapToInt(e -> e.received().size()).sum();
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(3_000);
+        return socket;
+    }
+
+    /** Sends a request on a connection of its own and returns all bytes until it closes. */
+    String call(String route, String id, String headers, String body) throws IOException {
+        return exchange(request(route, id, headers + "Connection: close\r\n", body));
+    }
+
+    static String request(String route, String id, String headers, String body) {
+        return "POST /"
+                + route
+                + "/x HTTP/1.1\r\nHost: h.example\r\nCall-Id: "
+                + id
+                + "\r\n"
+                + headers
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    String exchange(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    static String readAll(InputStream in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        byte[] buffer = new byte[4096];
+        try {
+            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                text.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+            }
+        } catch (java.net.SocketException e) {
+            text.append("<reset>");
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        endpoints.forEach(ScriptedEndpoint::close);
+        server.stop();
+        runtime.stop();
+    }
+
+    /** Turn history in memory that grants everything and notes what is settled. */
+    static final class MemoryHistory implements TurnHistory {
+        final List<String> settled = new CopyOnWriteArrayList<>();
+        final List<String> stored = new CopyOnWriteArrayList<>();
+        final java.util.Map<CallId, byte[]> turns = new java.util.concurrent.ConcurrentHashMap<>();
+        volatile Reservation nextReservation = new Reservation.Granted();
+        volatile boolean storing = true;
+
+        @Override
+        public CompletableFuture<Reservation> reserve(
+                ProgramId program, CallId call, long tokens, long budget, Duration deadline) {
+            return CompletableFuture.completedFuture(nextReservation);
+        }
+
+        @Override
+        public void settle(ProgramId program, CallId call, long tokens) {
+            settled.add(call + "=" + tokens);
+        }
+
+        @Override
+        public CompletableFuture<Lookup> lookUp(CallId turn, Duration deadline) {
+            byte[] text = turns.get(turn);
+            return CompletableFuture.completedFuture(
+                    text == null ? new Lookup.Absent() : new Lookup.Found(text));
+        }
+
+        @Override
+        public CompletableFuture<Boolean> store(
+                CallId turn, byte[] text, Duration retention, Duration deadline) {
+            if (storing) {
+                turns.put(turn, text);
+                stored.add(turn + "=" + new String(text, StandardCharsets.UTF_8));
+            }
+            return CompletableFuture.completedFuture(storing);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
@@ -0,0 +1,133 @@
+package org.tamarackfold.peer.disk;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.StoreId;
+import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.thrift.RecordCodec;
+import org.testng.annotations.Test;
+
+/** The files of a storage host after crashes. */
+public final class SegmentLogTest {
+    private SegmentLogTest() {}
+
+    private static final ShardId SHARD = new ShardId(3);
+
+    private static StoredRecord turn(int index) {
+        return new StoredRecord.Turn(new CallId("turn-" + index), new byte[100], 1_000);
+    }
+
+    private static SegmentLog open(Path folder, long compaction, List<RecordCodec.Logged> read)
+            throws IOException {
+        return SegmentLog.open(folder, compaction, read::add);
+    }
+
+    private static void append(SegmentLog log, int index) throws Exception {
+        log.append(SHARD, Vector.of(turn(index))).get(5, TimeUnit.SECONDS);
+    }
+
+    private static List<Path> segments(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(f -> f.getFileName().toString().startsWith("records-"))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    /** Starting again. */
+    public static final class Restart {
+        /** Guards against records that are confirmed and not read again. */
+        @Test
+        public void confirmedRecordsAreReadAgain() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            try (SegmentLog log = open(folder, Long.MAX_VALUE, new ArrayList<>())) {
+                log.start(Vector::empty);
+                for (int i = 0; i < 20; i++) {
+                    append(log, i);
+                }
+            }
+            List<RecordCodec.Logged> read = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, read).close();
+            assertEquals(read.size(), 20);
+            assertEquals(read.get(7).shard(), SHARD);
+        }
+
+        /** Guards against a torn write that hides the records of later lives. */
+        @Test
+        public void tornTailIsIgnoredAndLaterRecordsAreKept() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            try (SegmentLog log = open(folder, Long.MAX_VALUE, new ArrayList<>())) {
+                log.start(Vector::empty);
+                append(log, 1);
+                append(log, 2);
+            }
+            Path segment = segments(folder).getLast();
+            byte[] content = Files.readAllBytes(segment);
+            Files.write(segment, java.util.Arrays.copyOf(content, content.length - 5));
+            try (SegmentLog log = open(folder, Long.MAX_VALUE, new ArrayList<>())) {
+                log.start(Vector::empty);
+                append(log, 3);
+            }
+            List<RecordCodec.Logged> read = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, read).close();
+            assertEquals(read.size(), 2);
+        }
+
+        /** Guards against a host that takes an empty disk for the one that it had. */
+        @Test
+        public void anEmptyFolderGetsAnotherIdentity() throws Exception {
+            Path first = Files.createTempDirectory("segment-log");
+            SegmentLog log = open(first, Long.MAX_VALUE, new ArrayList<>());
+            StoreId identity = log.storeId();
+            log.close();
+            assertEquals(open(first, Long.MAX_VALUE, new ArrayList<>()).storeId(), identity);
+            Path second = Files.createTempDirectory("segment-log");
+            assertNotEquals(open(second, Long.MAX_VALUE, new ArrayList<>()).storeId(), identity);
+        }
+    }
+
+    /** Removing old segments. */
+    public static final class Compaction {
+        /** Guards against a disk that fills up, and against losing live records on the way. */
+        @Test
+        public void liveRecordsSurviveAndOldSegmentsGo() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            Seq<RecordCodec.Logged> live = Vector.of(new RecordCodec.Logged(SHARD, turn(999)));
+            try (SegmentLog log = open(folder, 2_000, new ArrayList<>())) {
+                log.start(() -> live);
+                for (int i = 0; i < 100; i++) {
+                    append(log, i);
+                }
+                append(log, 100);
+            }
+            long bytes = 0;
+            for (Path segment : segments(folder)) {
+                bytes += Files.size(segment);
+            }
+            assertTrue(bytes < 6_000, "bytes on disk: " + bytes);
+            List<RecordCodec.Logged> read = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, read).close();
+            assertTrue(read.stream().anyMatch(r -> RecordCodec.encode(r).length > 0));
+            assertTrue(
+                    read.stream()
+                            .map(RecordCodec.Logged::record)
+                            .anyMatch(
+                                    r ->
+                                            r instanceof StoredRecord.Turn t
+                                                    && t.call().value().equals("turn-999")));
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
@@ -0,0 +1,101 @@
+package org.tamarackfold.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.operator.Release;
+import org.tamarackfold.operator.Repeatability;
+import org.testng.annotations.Test;
+
+/** Decoding what the platform stores. */
+public final class FleetAdapterTest {
+    private FleetAdapterTest() {}
+
+    private static final FleetAdapter ADAPTER = new FleetAdapter();
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Registrations of endpoints. */
+    public static final class Registrations {
+        private static final String VALID =
+                """
+                {"service":"s1","address":"10.1.0.9:8080","zone":"a","version":"v1","slots":12,
+                 "state":"draining","coldRemainingMs":0,"sequence":4,"born":1700000000000}
+                """;
+
+        private static Either<String, EndpointRecord> decode(String text) {
+            return ADAPTER.decodeEndpoint("servers/i-1", bytes(text));
+        }
+
+        /** Guards against an endpoint that is leaving and still receives calls. */
+        @Test
+        public void stateIsDecoded() {
+            EndpointRecord record = decode(VALID).get();
+            assertTrue(record.leaving());
+            assertEquals(record.id().value(), "i-1");
+            assertEquals(record.startedAtMillis(), 1_700_000_000_000L);
+        }
+
+        /** Guards against using what another writer left behind. */
+        @Test
+        public void foreignEntriesAreRejected() {
+            assertTrue(decode(VALID.replace("draining", "sleeping")).isLeft());
+            assertTrue(decode(VALID.replace("\"slots\":12", "\"slots\":\"12\"")).isLeft());
+            assertTrue(decode(VALID.replace("\"service\":\"s1\",", "")).isLeft());
+            assertTrue(decode("\u0000\u0001 not JSON").isLeft());
+            assertTrue(decode("[]").isLeft());
+        }
+    }
+
+    /** Releases. */
+    public static final class Releases {
+        private static final String RELEASE =
+                """
+                {"version":7,"routes":[
+                 {"name":"r1","host":"h.example","prefix":"/a/","type":"streaming","timeoutMs":3000,
+                  "targetLatencyMs":250,"priority":0,"service":"s1","maxAttempts":1,
+                  "stateful":true,"retentionS":60.0,"sticky":true,"resumable":false},
+                 {"name":"r2","host":"h.example","prefix":"/a/b/","type":"safe","timeoutMs":2000,
+                  "targetLatencyMs":400,"priority":2,
+                  "weightedServices":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+                 "services":[{"name":"s1","healthPath":"/h","maxConnections":9,
+                  "engine":{"slots":12,"chunkTokens":5}}],
+                 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,
+                  "idleTimeoutMs":15000}}
+                """;
+
+        /** Guards against a route that is chosen by a shorter prefix. */
+        @Test
+        public void longestPrefixApplies() {
+            Release release = ADAPTER.decodeRelease(bytes(RELEASE)).get();
+            assertEquals(release.routeFor("H.example", "/a/b/c").get().name().value(), "r2");
+            assertEquals(release.routeFor("h.example", "/a/c").get().name().value(), "r1");
+            assertTrue(release.routeFor("h.example", "/b/").isEmpty());
+            assertTrue(release.routeFor("other.example", "/a/").isEmpty());
+        }
+
+        /** Guards against calls that run twice because of their decoded kind. */
+        @Test
+        public void kindsAreDecoded() {
+            Release release = ADAPTER.decodeRelease(bytes(RELEASE)).get();
+            assertEquals(
+                    release.routeFor("h.example", "/a/c").get().repeatability(),
+                    Repeatability.AT_MOST_ONCE_STREAM);
+            assertEquals(
+                    release.routeFor("h.example", "/a/b/").get().repeatability(),
+                    Repeatability.IDEMPOTENT);
+        }
+
+        /** Guards against a release of unknown kind that is half applied. */
+        @Test
+        public void unknownKindIsRejected() {
+            String text = RELEASE.replace("\"safe\"", "\"other\"");
+            assertTrue(ADAPTER.decodeRelease(bytes(text)).isLeft());
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
@@ -0,0 +1,94 @@
+package org.tamarackfold.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.tamarackfold.settings.toml.SettingsFile;
+import org.testng.annotations.Test;
+
+/** Settings files and their errors. */
+public final class SettingsFileTest {
+    private SettingsFileTest() {}
+
+    private static final String VALID =
+            """
+            role = "entry"
+            host = "entry-1"
+            availability_zone = "zone-a"
+            adapter = "own"
+            [listeners]
+            callers = "127.0.0.1:1000"
+            readiness = "127.0.0.1:1001"
+            directory = "127.0.0.1:1002"
+            peers = "127.0.0.1:1003"
+            metrics = "127.0.0.1:1004"
+            [key_value]
+            address = "127.0.0.1:1005"
+            minimum_lease_ms = 1000
+            [storage]
+            tolerated_losses = 1
+            [shutdown]
+            grace_s = 8
+            [directory]
+            time_to_live_ms = 1000
+            """;
+
+    private static Either<Vector<String>, HostSettings> read(String text) throws IOException {
+        Path file = Files.createTempFile("settings", ".toml");
+        Files.writeString(file, text);
+        return SettingsFile.read(file);
+    }
+
+    private static String onlyError(String text) throws IOException {
+        Vector<String> errors = read(text).getLeft();
+        assertEquals(errors.size(), 1, errors.mkString("\n"));
+        return errors.head();
+    }
+
+    /** Files without errors. */
+    public static final class Valid {
+        /** Guards against settings that are read and not used. */
+        @Test
+        public void valuesAreRead() throws IOException {
+            HostSettings settings = read(VALID).get();
+            assertEquals(settings.role(), HostRole.ENTRY);
+            assertEquals(settings.callers().get().port(), 1000);
+            assertEquals(settings.toleratedLosses(), 1);
+            assertEquals(settings.shutdownGrace().toSeconds(), 8);
+        }
+    }
+
+    /** Files with errors. */
+    public static final class Invalid {
+        /** Guards against a misspelled key that is ignored. */
+        @Test
+        public void unknownKeyIsNamed() throws IOException {
+            assertTrue(onlyError(VALID + "colour = 3\n").contains("directory.colour"));
+        }
+
+        /** Guards against a missing address that shows only at the first call. */
+        @Test
+        public void missingAddressIsNamed() throws IOException {
+            String error = onlyError(VALID.replace("peers = \"127.0.0.1:1003\"\n", ""));
+            assertTrue(error.contains("listeners.peers"), error);
+        }
+
+        /** Guards against a number out of range. */
+        @Test
+        public void rangeIsStated() throws IOException {
+            String error = onlyError(VALID.replace("losses = 1", "losses = -1"));
+            assertTrue(error.contains("from 0 to 16"), error);
+        }
+
+        /** Guards against a stack trace where the text is not TOML. */
+        @Test
+        public void brokenSyntaxIsReported() throws IOException {
+            assertTrue(onlyError("role = ").contains("is not TOML"));
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import org.tamarackfold.errors.Failure;
 import org.tamarackfold.log.StructuredLog;
-import org.tamarackfold.peer.Scheduler;
+import org.tamarackfold.time.Scheduler;
 
 /** Keeps a key in the service for as long as this process lives. */
 public final class LeasedKey {
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -5,7 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.tamarackfold.errors.Failure;
 import org.tamarackfold.log.StructuredLog;
-import org.tamarackfold.peer.Scheduler;
+import org.tamarackfold.time.Scheduler;
 
 /** Follows all items under a prefix: lists them once, then watches. */
 public final class PrefixWatcher {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -17,6 +17,7 @@
 import org.tamarackfold.peer.HistoryClient;
 import org.tamarackfold.peer.LayoutBook;
 import org.tamarackfold.peer.SharedKeys;
+import org.tamarackfold.peer.SharedStateListener;
 import org.tamarackfold.settings.HostSettings;
 
 /** An entry host: takes the calls of callers and runs them at endpoints. */
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
@@ -10,11 +10,11 @@
 import org.tamarackfold.peer.LayoutBook;
 import org.tamarackfold.peer.MemberTable;
 import org.tamarackfold.peer.PeerChannel;
-import org.tamarackfold.peer.Scheduler;
 import org.tamarackfold.peer.SharedStateCodec;
 import org.tamarackfold.peer.http.HttpPeerChannel;
 import org.tamarackfold.peer.thrift.ThriftSharedStateCodec;
 import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.time.Scheduler;
 import org.tamarackfold.transport.HttpClientPool;
 import org.tamarackfold.transport.IoRuntime;
 
@@ -41,7 +41,7 @@
         this.adapter = adapter;
         this.runtime = IoRuntime.start(1);
         this.client = new HttpClientPool(runtime, DEFAULT_IDLE.toNanos());
-        this.scheduler = (delay, action) -> runtime.after(delay, action);
+        this.scheduler = new WorkerScheduler(runtime);
         this.keyValue = adapter.keyValueService(client, settings.keyValue(), metrics);
         this.channel = new HttpPeerChannel(client, metrics);
         this.random = new java.util.Random(System.nanoTime() ^ settings.host().hashCode());
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -17,6 +17,7 @@
 import org.tamarackfold.peer.ReplicaService;
 import org.tamarackfold.peer.ShardTable;
 import org.tamarackfold.peer.SharedKeys;
+import org.tamarackfold.peer.SharedStateListener;
 import org.tamarackfold.peer.disk.SegmentLog;
 import org.tamarackfold.peer.http.PeerHandler;
 import org.tamarackfold.peer.thrift.RecordCodec;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -8,6 +8,7 @@
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.time.Scheduler;
 
 /** Uses the durable state of programs from an entry host: asks the primary of each shard. */
 public final class HistoryClient implements TurnHistory {
@@ -44,12 +45,12 @@
             Function<ShardId, PeerRequest> request,
             Duration deadline) {
         CompletableFuture<PeerReply> result = new CompletableFuture<>();
-        attempt(new Pending(shard, request, System.nanoTime() + deadline.toNanos(), result));
+        attempt(new Pending(shard, request, scheduler.nanoTime() + deadline.toNanos(), result));
         return result;
     }
 
     private void attempt(Pending pending) {
-        long left = pending.endsAt() - System.nanoTime();
+        long left = pending.endsAt() - scheduler.nanoTime();
         if (left <= 0) {
             pending.result().complete(new PeerReply.Unavailable("no confirmation in time"));
             return;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -12,6 +12,7 @@
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.time.Scheduler;
 
 /**
  * Brings the members of shards up to date on a storage host. A change copies all records to the
@@ -46,7 +47,7 @@
     private final LayoutPlanner planner;
     private final PeerChannel channel;
     private final Scheduler scheduler;
-    private final long startedAt = System.nanoTime();
+    private final long startedAt;
     private boolean busy;
 
     private LayoutManager(Builder builder) {
@@ -60,6 +61,7 @@
         this.planner = builder.planner;
         this.channel = builder.channel;
         this.scheduler = builder.scheduler;
+        this.startedAt = scheduler.nanoTime();
     }
 
     /** Returns a builder. */
@@ -129,7 +131,7 @@
     }
 
     private void writeFirstLayout() {
-        if (System.nanoTime() - startedAt < FIRST_LAYOUT_AGE.toNanos()) {
+        if (scheduler.nanoTime() - startedAt < FIRST_LAYOUT_AGE.toNanos()) {
             return;
         }
         Option<Layout> first = planner.initial(members.storageHosts(), SHARDS);
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
@@ -57,20 +57,27 @@
         // The distance between the members of a shard varies, so that the shards of a lost host
         // move to several others.
         int stride = 1 + (index / ordered.size()) % Math.max(1, ordered.size() - 1);
+        Vector<Member> rotated =
+                Vector.range(0, ordered.size())
+                        .map(i -> ordered.get(Math.floorMod(index + i * stride, ordered.size())))
+                        .appendAll(ordered)
+                        .distinct();
         Vector<Member> members = Vector.empty();
-        int position = index;
         while (members.size() < copies) {
-            Member candidate = ordered.get(Math.floorMod(position, ordered.size()));
-            if (members.contains(candidate)) {
-                position++;
-                continue;
-            }
-            members = members.append(candidate);
-            position += stride;
+            Member next = inAnotherZone(rotated, members);
+            members = members.append(next);
+            rotated = rotated.remove(next);
         }
         return new View(new ShardId(index), new Epoch(1), members);
     }
 
+    /** Returns the first candidate outside of the zones in use, or else the first one. */
+    private static Member inAnotherZone(Vector<Member> candidates, Vector<Member> members) {
+        return candidates
+                .find(c -> !members.exists(m -> m.zone().equals(c.zone())))
+                .getOrElse(candidates::head);
+    }
+
     /** Orders hosts so that neighbours are in different availability zones where possible. */
     private static Vector<Member> interleaveZones(Set<Member> hosts) {
         Map<String, Vector<Member>> zones =
@@ -150,10 +157,7 @@
                         .sortBy(member -> load.getOrElse(member.store(), 0));
         while (kept.size() + chosen.size() < copies && candidates.nonEmpty()) {
             Vector<Member> present = kept.appendAll(chosen);
-            Member next =
-                    candidates
-                            .find(c -> !present.exists(m -> m.zone().equals(c.zone())))
-                            .getOrElse(candidates::head);
+            Member next = inAnotherZone(candidates, present);
             chosen = chosen.append(next);
             candidates = candidates.remove(next);
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
@@ -10,6 +10,7 @@
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.table.LockRank;
 import org.tamarackfold.table.TableLock;
+import org.tamarackfold.time.Scheduler;
 
 /** Finds out by pings which storage hosts are reachable with the files that they had. */
 public final class PeerMonitor {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.time.Scheduler;
 
 /**
  * Serves the requests of other hosts on a storage host. A primary confirms a record once its own
@@ -87,7 +88,7 @@
                         records.isEmpty()
                                 ? CompletableFuture.completedFuture(null)
                                 : log.append(shard, records);
-                long giveUpAt = System.nanoTime() + GIVE_UP.toNanos();
+                long giveUpAt = scheduler.nanoTime() + GIVE_UP.toNanos();
                 yield replicate(shard, records, giveUpAt)
                         .thenCombine(
                                 local, (confirmed, unused) -> confirmed ? reply : unconfirmed());
@@ -116,7 +117,7 @@
         if (all && stillPrimary(view)) {
             return CompletableFuture.completedFuture(true);
         }
-        if (System.nanoTime() - giveUpAt > 0) {
+        if (scheduler.nanoTime() - giveUpAt > 0) {
             LOG.event("not_confirmed")
                     .with("shard", shard)
                     .with("epoch", view.epoch())
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/SharedStateListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/SharedStateListener.java
@@ -1,16 +1,13 @@
-package org.tamarackfold.node.runtime;
+package org.tamarackfold.peer;
 
 import io.vavr.control.Option;
 import java.util.function.Consumer;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.PrefixWatcher;
 import org.tamarackfold.log.StructuredLog;
-import org.tamarackfold.peer.MemberTable;
-import org.tamarackfold.peer.SharedKeys;
-import org.tamarackfold.peer.SharedStateCodec;
 
 /** Applies what hosts share through the key-value service. */
-final class SharedStateListener implements PrefixWatcher.Listener {
+public final class SharedStateListener implements PrefixWatcher.Listener {
     private static final StructuredLog LOG = StructuredLog.of("members");
 
     private final MemberTable members;
@@ -19,7 +16,16 @@
     private final String ownKey;
     private final Runnable onOwnKeyRemoved;
 
-    SharedStateListener(
+    /**
+     * Creates a listener.
+     *
+     * @param members receives the registered hosts
+     * @param codec decodes them
+     * @param onLayout receives the layout
+     * @param ownKey the registration of this host
+     * @param onOwnKeyRemoved runs when that registration is missing
+     */
+    public SharedStateListener(
             MemberTable members,
             SharedStateCodec codec,
             Consumer<KeyValueService.Item> onLayout,
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
@@ -47,6 +47,11 @@
                     "directory",
                     HashSet.of("time_to_live_ms"));
 
+    /** Stands for a missing text, so that reading goes on and reports all errors. */
+    private static final String MISSING = "missing";
+
+    private static final Address UNUSED_ADDRESS = new Address("0.0.0.0", 1);
+
     private static final double MAXIMUM_SECONDS = 3600;
 
     private final String file;
@@ -136,18 +141,21 @@
         JsonNode node = node(table, key);
         if (!node.isString() || node.asString().isEmpty()) {
             error(qualified(table, key), "is missing; a text is expected");
-            return "missing";
+            return MISSING;
         }
         return node.asString();
     }
 
     private Address address(String table, String key) {
         String text = text(table, key);
+        if (text.equals(MISSING)) {
+            return UNUSED_ADDRESS;
+        }
         try {
             return Address.parse(text);
         } catch (IllegalArgumentException e) {
             error(qualified(table, key), "must be ip:port, is " + text);
-            return new Address("0.0.0.0", 1);
+            return UNUSED_ADDRESS;
         }
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/Scheduler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/time/Scheduler.java
@@ -1,9 +1,12 @@
-package org.tamarackfold.peer;
+package org.tamarackfold.time;
 
 import java.time.Duration;
 
-/** Runs actions later. */
+/** Monotonic time, and actions that run later. */
 public interface Scheduler {
+    /** Returns the monotonic time, in ns. */
+    long nanoTime();
+
     /** Runs an action once after a delay. */
     void after(Duration delay, Runnable action);
 }
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time and timers, so that decisions can be driven by another clock. */
+package org.tamarackfold.time;
