Close cancelled exchanges, send streams in chunks, drop left endpoints in time

The socket is closed now. - On connections that end with the answer, Undertow sends no chunks, so a broken stream looked whole (CallHandlerTest, eventsAreRelayed).

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/StreamRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/StreamRelay.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
@@ -61,6 +62,10 @@
         started = true;
         exchange.setStatusCode(status);
         ForwardedHeaders.towardsCaller(headers, exchange.getResponseHeaders());
+        if (exchange.isHttp11()) {
+            // Without chunks, the end of a closed connection would make a broken stream look whole.
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
     }
 
     private void written() {
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
@@ -6,9 +6,9 @@
 import java.util.Set;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.log.StructuredLog;
-import org.tamarackfold.peer.Scheduler;
 import org.tamarackfold.table.LockRank;
 import org.tamarackfold.table.TableLock;
+import org.tamarackfold.time.Scheduler;
 
 /**
  * Applies registrations of endpoints to their table. While the key-value service is disturbed,
@@ -17,19 +17,16 @@
 public final class EndpointRegistry {
     private static final StructuredLog LOG = StructuredLog.of("endpoint");
 
-    /** Time in which lapsed registrations return after a disturbance, as the platform states. */
+    /** Time after the return of the service in which lapsed registrations are back. */
     private static final Duration RETURN_TIME = Duration.ofMillis(2_300);
 
-    /** Time after a disturbance during which removals are held back. */
-    private static final Duration DISTURBED_TIME = Duration.ofSeconds(5);
-
     private final TableLock lock = new TableLock(LockRank.MEMBERS);
     private final EndpointTable table;
     private final Scheduler scheduler;
     private final Map<EndpointId, Long> lapsed = new HashMap<>();
     private boolean reachable = true;
-    private long disturbedAt;
-    private boolean everDisturbed;
+    private boolean disturbed;
+    private long regainedAt;
 
     /** Creates a registry that applies to the given table. */
     public EndpointRegistry(EndpointTable table, Scheduler scheduler) {
@@ -42,8 +39,8 @@
         lock.run(
                 () -> {
                     reachable = value;
-                    disturbedAt = now;
-                    everDisturbed = true;
+                    disturbed = true;
+                    regainedAt = now;
                 });
     }
 
@@ -72,24 +69,34 @@
 
     /** The registration of an endpoint has been removed. */
     public void removed(EndpointId id, long now) {
-        boolean hold =
-                lock.locked(
-                        () -> {
-                            boolean disturbed =
-                                    !reachable
-                                            || everDisturbed
-                                                    && now - disturbedAt < DISTURBED_TIME.toNanos();
-                            if (disturbed) {
-                                lapsed.put(id, now);
-                            }
-                            return disturbed;
-                        });
-        if (!hold) {
+        long hold = lock.locked(() -> holdNanos(id, now));
+        if (hold <= 0) {
             remove(id, "registration removed");
             return;
         }
-        LOG.event("removal_held_back").with("endpoint", id).info();
-        scheduler.after(RETURN_TIME, () -> removeIfStillLapsed(id, now));
+        LOG.event("removal_held_back")
+                .with("endpoint", id)
+                .with("ms", Duration.ofNanos(hold).toMillis())
+                .info();
+        scheduler.after(Duration.ofNanos(hold), () -> removeIfStillLapsed(id, now));
+    }
+
+    private long holdNanos(EndpointId id, long now) {
+        long hold = remainingReturnNanos(now);
+        if (hold > 0) {
+            lapsed.put(id, now);
+        }
+        return hold;
+    }
+
+    /** Returns how long lapsed registrations may still come back, in ns; 0 when calm. */
+    private long remainingReturnNanos(long now) {
+        if (!disturbed) {
+            return 0;
+        }
+        return reachable
+                ? Math.max(0, regainedAt + RETURN_TIME.toNanos() - now)
+                : RETURN_TIME.toNanos();
     }
 
     private void removeIfStillLapsed(EndpointId id, long since) {
@@ -97,17 +104,7 @@
             scheduler.after(RETURN_TIME, () -> removeIfStillLapsed(id, since));
             return;
         }
-        boolean gone =
-                lock.locked(
-                        () -> {
-                            Long lapsedAt = lapsed.get(id);
-                            if (lapsedAt == null || lapsedAt != since) {
-                                return false;
-                            }
-                            lapsed.remove(id);
-                            return true;
-                        });
-        if (gone) {
+        if (lock.locked(() -> lapsed.remove(id, since))) {
             remove(id, "registration did not return");
         }
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -246,7 +246,7 @@
             // that surplus bytes of the peer close it first.
             thread.execute(this::release);
         } else {
-            IoUtils.safeClose(connection);
+            closeConnection();
         }
         listener.onEnd();
     }
@@ -265,7 +265,7 @@
         }
         finished = true;
         cancelTimer();
-        IoUtils.safeClose(connection);
+        closeConnection();
         listener.onFailure(failure);
     }
 
@@ -280,7 +280,7 @@
         }
         finished = true;
         cancelTimer();
-        IoUtils.safeClose(connection);
+        closeConnection();
     }
 
     @Override
@@ -296,6 +296,21 @@
         }
     }
 
+    /**
+     * Closes the socket at once. The close method of the client waits for the peer and sends no end
+     * of stream while a request is under way, so the peer would go on with it.
+     */
+    private void closeConnection() {
+        if (connection == null) {
+            return;
+        }
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
     private void continueReading() {
         if (!finished) {
             read();
