Follow all keys with one watch, detect lost storage hosts sooner

Change: one watch over all keys, passed on by prefix; three pings missed at 200 ms instead of four at 350 ms; a host whose layout write conflicts plans again at once; a turn waits 70% of its time for its preparation instead of half; all calls of a program prefer one endpoint by rendezvous hash. The log manager keeps its handlers during shutdown, which had swallowed the lines of a stopping host. A turn is settled before its answer ends (found by CallHandlerTest).

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.log.BoundedConsoleHandler;
+import org.tamarackfold.log.ShutdownLogManager;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.node.runtime.EntryNode;
 import org.tamarackfold.node.runtime.Host;
@@ -26,6 +27,7 @@
 
     /** Starts the host that the settings file describes. */
     public static void main(String[] arguments) throws IOException {
+        selectLogManager();
         String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
         if (path == null) {
             System.err.println(
@@ -44,6 +46,11 @@
         run(settings.get(), file);
     }
 
+    /** Must come before the first use of logging, which creates the log manager. */
+    private static void selectLogManager() {
+        System.setProperty("java.util.logging.manager", ShutdownLogManager.class.getName());
+    }
+
     /**
      * Reads a settings file.
      *
@@ -71,6 +78,7 @@
                         new Thread(
                                 () -> {
                                     host.stop();
+                                    log.event("ended").info();
                                     console.close();
                                     stopped.countDown();
                                 },
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
@@ -100,10 +100,7 @@
         watch = DisconnectWatch.start(exchange, this::callerGone);
         placement =
                 new PlacementRequest(
-                        chooseService(),
-                        affinity(),
-                        Option.none(),
-                        io.vavr.collection.HashSet.empty());
+                        chooseService(), affinity(), io.vavr.collection.HashSet.empty());
         if (!turn.needed()) {
             dispatch();
             return;
@@ -267,8 +264,8 @@
             finishTurn(stream, endpoint);
             return;
         }
-        relay.finish();
         finish("answered", "status " + relay.status(), endpoint);
+        relay.finish();
     }
 
     private void finishTurn(StreamRelay stream, EndpointRecord endpoint) {
@@ -284,8 +281,8 @@
             return;
         }
         if (stored) {
-            stream.finish();
             finish("answered", "status " + stream.status(), endpoint);
+            stream.finish();
             return;
         }
         stream.abort();
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -9,8 +9,8 @@
 
 /** The durable side of one turn: its token reservation and its history. */
 final class TurnState {
-    /** Part of the time of a turn after which its preparation is given up and the turn refused. */
-    private static final int PREPARATION_SHARE = 2;
+    /** Share of the time of a turn after which its preparation is given up, in percent. */
+    private static final int PREPARATION_PERCENT = 70;
 
     private final TurnHistory history;
     private final CallDescription call;
@@ -57,7 +57,7 @@
 
     CompletableFuture<Preparation> prepare(Duration timeLeft) {
         ProgramTurn turn = call.turn().get();
-        Duration limit = timeLeft.dividedBy(PREPARATION_SHARE);
+        Duration limit = timeLeft.multipliedBy(PREPARATION_PERCENT).dividedBy(100);
         reserved = true;
         CompletableFuture<TurnHistory.Reservation> reservation =
                 history.reserve(
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -81,6 +82,7 @@
 
     private EndpointState best(PlacementRequest request, long now) {
         double medianLatency = medianLatency(request.service());
+        EndpointState favourite = favourite(request, now);
         EndpointState best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (EndpointState state : states.values()) {
@@ -88,7 +90,7 @@
                 continue;
             }
             double cost =
-                    Placement.cost(state, request, ownZone, medianLatency, now)
+                    Placement.cost(state, state == favourite, ownZone, medianLatency, now)
                             + random.nextDouble() * Placement.TIE_BREAK;
             if (cost < bestCost) {
                 best = state;
@@ -98,6 +100,18 @@
         return best;
     }
 
+    /** Returns the endpoint that calls of the same affinity value share; null without one. */
+    private EndpointState favourite(PlacementRequest request, long now) {
+        if (request.affinity().isEmpty()) {
+            return null;
+        }
+        String affinity = request.affinity().get();
+        return states.values().stream()
+                .filter(state -> eligible(state, request) && !state.isAvoided(now))
+                .max(Comparator.comparingDouble(s -> Placement.rendezvous(affinity, s.record())))
+                .orElse(null);
+    }
+
     private static boolean eligible(EndpointState state, PlacementRequest request) {
         EndpointRecord record = state.record();
         return record.service().equals(request.service())
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
@@ -7,10 +7,7 @@
     /** Added for an endpoint in another availability zone; a tenth of a slot taken. */
     private static final double OTHER_ZONE = 0.1;
 
-    /** Taken off for the endpoint that holds the conversation in memory, in slots taken. */
-    private static final double CONVERSATION_BONUS = 0.5;
-
-    /** Taken off in proportion to the rendezvous hash of the affinity value, in slots taken. */
+    /** Taken off for the endpoint with the greatest rendezvous hash, in shares of its slots. */
     private static final double AFFINITY_BONUS = 0.3;
 
     /** Added for an endpoint that is paused after a failure, so that it is the last choice. */
@@ -26,7 +23,7 @@
 
     static double cost(
             EndpointState state,
-            PlacementRequest request,
+            boolean favourite,
             AvailabilityZone ownZone,
             double medianLatencyMillis,
             long now) {
@@ -36,11 +33,8 @@
         if (!record.zone().equals(ownZone)) {
             cost += OTHER_ZONE;
         }
-        if (request.preferred().contains(record.id())) {
-            cost -= CONVERSATION_BONUS;
-        }
-        if (request.affinity().isDefined()) {
-            cost -= AFFINITY_BONUS * rendezvous(request.affinity().get(), record);
+        if (favourite) {
+            cost -= AFFINITY_BONUS;
         }
         if (state.isAvoided(now)) {
             cost += AVOIDED;
@@ -56,7 +50,7 @@
         return ratio < SLOW_RATIO ? 1 : ratio * ratio;
     }
 
-    private static double rendezvous(String affinity, EndpointRecord record) {
+    static double rendezvous(String affinity, EndpointRecord record) {
         int hash = (affinity + '/' + record.id()).hashCode() * 0x9E3779B9;
         return (hash >>> 8) / (double) (1 << 24);
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/PlacementRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/PlacementRequest.java
@@ -12,21 +12,17 @@
  * @param service the service
  * @param affinity hashed into a preference among equally loaded endpoints; the same value prefers
  *     the same endpoint
- * @param preferred the endpoint that ran the previous turn of the conversation
  * @param excluded the endpoints that the call has tried
  */
 public record PlacementRequest(
-        ServiceName service,
-        Option<String> affinity,
-        Option<EndpointId> preferred,
-        Set<EndpointId> excluded) {
+        ServiceName service, Option<String> affinity, Set<EndpointId> excluded) {
     /** Returns a request without preference. */
     public static PlacementRequest of(ServiceName service) {
-        return new PlacementRequest(service, Option.none(), Option.none(), HashSet.empty());
+        return new PlacementRequest(service, Option.none(), HashSet.empty());
     }
 
     /** Returns this request with one more endpoint excluded. */
     public PlacementRequest without(EndpointId endpoint) {
-        return new PlacementRequest(service, affinity, preferred, excluded.add(endpoint));
+        return new PlacementRequest(service, affinity, excluded.add(endpoint));
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -12,7 +12,7 @@
     private static final StructuredLog LOG = StructuredLog.of("keyvalue");
 
     /** Wait of one watch call; bounds how long a silent connection stays unnoticed. */
-    private static final Duration WAIT = Duration.ofSeconds(4);
+    private static final Duration WAIT = Duration.ofSeconds(3);
 
     /** Pause after the first failure; doubles with each further one. */
     private static final long FIRST_PAUSE_MILLIS = 100;
--- a/tamarackfold/src/main/java/org/tamarackfold/log/BoundedConsoleHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/log/BoundedConsoleHandler.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.logging.Handler;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
@@ -30,9 +29,12 @@
 
     /** Makes this the only handler of the process and starts its thread. */
     public static BoundedConsoleHandler install(PrintStream output) {
-        LogManager.getLogManager().reset();
         BoundedConsoleHandler handler = new BoundedConsoleHandler(output);
-        Logger.getLogger("").addHandler(handler);
+        Logger root = Logger.getLogger("");
+        for (Handler present : root.getHandlers()) {
+            root.removeHandler(present);
+        }
+        root.addHandler(handler);
         Thread writer = new Thread(handler::drain, "log-writer");
         writer.setDaemon(true);
         writer.start();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -10,6 +10,7 @@
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.LeasedKey;
+import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.node.EntryDirectory;
 import org.tamarackfold.operator.ReleaseBook;
@@ -101,17 +102,20 @@
     }
 
     private void watch() {
-        parts.watch(
-                parts.adapter().operatorPrefix(), new ReleaseListener(parts.adapter(), releases));
-        parts.watch(parts.adapter().endpointPrefix(), endpointListener);
-        parts.watch(
-                SharedKeys.ROOT,
+        SharedStateListener sharedState =
                 new SharedStateListener(
                         parts.members(),
                         parts.codec(),
                         this::layoutRead,
                         SharedKeys.entryHost(parts.settings().host()),
-                        registration::renewKey));
+                        registration::renewKey);
+        parts.watch(
+                new PrefixDispatcher()
+                        .add(
+                                parts.adapter().operatorPrefix(),
+                                new ReleaseListener(parts.adapter(), releases))
+                        .add(parts.adapter().endpointPrefix(), endpointListener)
+                        .add(SharedKeys.ROOT, sharedState));
     }
 
     private void layoutRead(KeyValueService.Item item) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.keyvalue.PrefixWatcher;
 import org.tamarackfold.metrics.NodeMetrics;
 import org.tamarackfold.peer.LayoutBook;
@@ -95,7 +96,8 @@
         return random;
     }
 
-    void watch(String prefix, PrefixWatcher.Listener listener) {
-        new PrefixWatcher(keyValue, prefix, listener, scheduler, random).start();
+    /** Follows all keys with one watch. */
+    void watch(PrefixDispatcher dispatcher) {
+        new PrefixWatcher(keyValue, "", dispatcher, scheduler, random).start();
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -9,6 +9,7 @@
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.LeasedKey;
+import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.peer.LayoutManager;
 import org.tamarackfold.peer.LayoutPlanner;
@@ -121,15 +122,17 @@
     }
 
     private void run() {
-        parts.watch(
-                SharedKeys.ROOT,
+        SharedStateListener sharedState =
                 new SharedStateListener(
                         parts.members(),
                         parts.codec(),
                         this::layoutRead,
                         SharedKeys.storageHost(parts.settings().host()),
-                        registration::renewKey));
-        parts.watch(parts.adapter().operatorPrefix(), retirement);
+                        registration::renewKey);
+        parts.watch(
+                new PrefixDispatcher()
+                        .add(SharedKeys.ROOT, sharedState)
+                        .add(parts.adapter().operatorPrefix(), retirement));
         registration.start();
         monitor.start();
         manager.start();
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -100,6 +100,10 @@
 
     private void check() {
         scheduler.after(INTERVAL, this::check);
+        act();
+    }
+
+    private void act() {
         Option<LayoutBook.Stored> stored = layouts.current();
         watchPeers(stored);
         if (busy) {
@@ -161,8 +165,15 @@
                             copyAll(change),
                             (views, copied) -> copied ? views.append(change.next()) : views);
         }
-        ready.thenCompose(views -> publish(stored, changes, views))
-                .thenAccept(unused -> busy = false);
+        ready.thenCompose(views -> publish(stored, changes, views)).thenAccept(this::ended);
+    }
+
+    /** Goes on at once where another host has replaced the layout first. */
+    private void ended(boolean decided) {
+        busy = false;
+        if (decided) {
+            act();
+        }
     }
 
     private CompletableFuture<Boolean> publish(
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
@@ -17,13 +17,15 @@
     private static final StructuredLog LOG = StructuredLog.of("monitor");
 
     /** Pause between two pings of a host. */
-    private static final Duration INTERVAL = Duration.ofMillis(350);
+    private static final Duration INTERVAL = Duration.ofMillis(200);
 
     /** Longest wait for the answer to a ping. */
-    private static final Duration TIMEOUT = Duration.ofMillis(350);
+    private static final Duration TIMEOUT = Duration.ofMillis(300);
 
-    /** Pings missed in a row from which a host is suspected; a restart takes about a second. */
-    private static final int MISSES_TO_SUSPECT = 4;
+    /**
+     * Pings missed in a row from which a host is suspected; a wrong suspicion moves shards only.
+     */
+    private static final int MISSES_TO_SUSPECT = 3;
 
     private final TableLock lock = new TableLock(LockRank.MEMBERS);
     private final Map<StoreId, Integer> misses = new HashMap<>();
