Replace storage hosts whose disks stall

Change: a host does not answer pings as alive while records wait for its disk for more than 300 ms, so the other members take its shards over.

Checked: ReplicationTest hostWhoseDiskStallsIsReplaced stores 30 of 60 turns without the change and 60 with it; 119 tests pass.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryRecordLog.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryRecordLog.java
@@ -19,6 +19,8 @@
     private final Duration syncTime;
     private final List<Entry> durable = new ArrayList<>();
     private int life;
+    private boolean stalled;
+    private final List<Runnable> waiting = new ArrayList<>();
 
     /** Creates an empty log. */
     public MemoryRecordLog(Scheduler scheduler, Duration syncTime) {
@@ -30,17 +32,35 @@
     public CompletableFuture<Void> append(ShardId shard, Seq<StoredRecord> records) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         int writtenIn = life;
-        scheduler.after(
-                syncTime,
+        Runnable sync =
                 () -> {
                     if (life == writtenIn) {
                         records.forEach(record -> durable.add(new Entry(shard, record)));
                         done.complete(null);
                     }
-                });
+                };
+        if (stalled) {
+            waiting.add(sync);
+        } else {
+            scheduler.after(syncTime, sync);
+        }
         return done;
     }
 
+    @Override
+    public boolean isStalled() {
+        return stalled && !waiting.isEmpty();
+    }
+
+    /** Starts or ends a time in which nothing becomes durable. */
+    public void setStalled(boolean value) {
+        stalled = value;
+        if (!value) {
+            waiting.forEach(sync -> scheduler.after(syncTime, sync));
+            waiting.clear();
+        }
+    }
+
     /** Loses what is not durable, as a loss of power does. */
     public void loseUnsynced() {
         life++;
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -219,6 +219,28 @@
             assertEquals(promises.lostTurns(), List.of());
         }
 
+        /** Guards against shards that stand still for as long as the disk of one member does. */
+        @Test
+        public void hostWhoseDiskStallsIsReplaced() {
+            StorageCluster cluster = StorageCluster.formed(4, 1, 22);
+            StorageCluster.StorageHost stalled = cluster.hosts.get(1);
+            stalled.log.setStalled(true);
+            Promises promises = new Promises(cluster);
+            for (int i = 0; i < 60; i++) {
+                promises.storeTurn();
+                cluster.run(50);
+            }
+            assertEquals(promises.storedTurns.size(), 60);
+            assertFalse(
+                    StorageCluster.membersOf(cluster.layout())
+                            .exists(m -> m.host().equals(stalled.member.host())));
+            stalled.losePower();
+            stalled.log.setStalled(false);
+            stalled.start();
+            cluster.run(3_000);
+            assertEquals(promises.lostTurns(), List.of());
+        }
+
         private static void cutFromOtherHosts(
                 StorageCluster cluster, StorageCluster.StorageHost cutOff) {
             for (StorageCluster.StorageHost other : cluster.hosts) {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -52,7 +52,7 @@
     /** Handles a request; the future never fails. */
     public CompletableFuture<PeerReply> handle(PeerRequest request) {
         return switch (request) {
-            case PeerRequest.Ping _ -> done(new PeerReply.Alive(self.store()));
+            case PeerRequest.Ping _ -> done(health());
             case PeerRequest.Append append -> append(append);
             case PeerRequest.Reserve reserve ->
                     execute(reserve.shard(), shards.reserve(reserve, clock.millis()));
@@ -64,6 +64,13 @@
         };
     }
 
+    /** A host whose disk stalls confirms nothing, so others take its shards over. */
+    private PeerReply health() {
+        return log.isStalled()
+                ? new PeerReply.Unavailable("disk stalled")
+                : new PeerReply.Alive(self.store());
+    }
+
     private static CompletableFuture<PeerReply> done(PeerReply reply) {
         return CompletableFuture.completedFuture(reply);
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -38,6 +39,9 @@
     /** Pause before a failed write is tried again, in milliseconds. */
     private static final long RETRY_MILLIS = 100;
 
+    /** Wait of a record from which the disk counts as stalled; a sync takes a few ms. */
+    private static final long STALL_NANOS = 300_000_000;
+
     private record Pending(byte[] frames, CompletableFuture<Void> done) {}
 
     private final Path folder;
@@ -50,6 +54,7 @@
     private FileChannel channel;
     private long nextSegment;
     private long appendedBytes;
+    private final AtomicLong waitingSince = new AtomicLong();
     private volatile boolean closed;
 
     private SegmentLog(Path folder, StoreId storeId, long compactionBytes) {
@@ -159,10 +164,17 @@
                     SegmentFile.frame(RecordCodec.encode(new RecordCodec.Logged(shard, record))));
         }
         CompletableFuture<Void> done = new CompletableFuture<>();
+        waitingSince.compareAndSet(0, System.nanoTime());
         queue.add(new Pending(frames.toByteArray(), done));
         return done;
     }
 
+    @Override
+    public boolean isStalled() {
+        long since = waitingSince.get();
+        return since != 0 && System.nanoTime() - since > STALL_NANOS;
+    }
+
     private void writeLoop() {
         List<Pending> batch = new ArrayList<>();
         try {
@@ -170,6 +182,7 @@
                 batch.add(queue.take());
                 queue.drainTo(batch);
                 writeUntilDurable(batch);
+                waitingSince.set(queue.isEmpty() ? 0 : System.nanoTime());
                 batch.forEach(pending -> pending.done().complete(null));
                 batch.clear();
             }
