--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/package-info.java
@@ -0,0 +1,2 @@
+/** Commands of the {@code tamarackfold} program. */
+package org.tamarackfold.daemon.command;
--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
@@ -19,7 +19,10 @@
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.time.Scheduler;
 
-/** Key-value service in memory, with outages and lost answers on demand. */
+/**
+ * Key-value service in memory, with outages and lost answers on demand. Its state is touched by the
+ * thread of its scheduler only.
+ */
 public final class MemoryKeyValueService implements KeyValueService {
     private static final Duration ANSWER_TIME = Duration.ofMillis(4);
 
@@ -157,16 +160,21 @@
     public CompletableFuture<Either<Failure, WatchResult>> watch(
             String prefix, long after, Duration wait) {
         Watch watch = new Watch(prefix, after, new CompletableFuture<>());
+        scheduler.after(ANSWER_TIME, () -> begin(watch, wait));
+        return watch.result();
+    }
+
+    private void begin(Watch watch, Duration wait) {
         boolean ready =
                 down
                         || history.stream()
                                 .anyMatch(
                                         change ->
-                                                revisionOf(change) > after
-                                                        && key(change).startsWith(prefix));
+                                                revisionOf(change) > watch.after()
+                                                        && key(change).startsWith(watch.prefix()));
         if (ready) {
-            scheduler.after(ANSWER_TIME, () -> complete(watch));
-            return watch.result();
+            complete(watch);
+            return;
         }
         watches.add(watch);
         scheduler.after(
@@ -176,7 +184,6 @@
                         complete(watch);
                     }
                 });
-        return watch.result();
     }
 
     @Override
--- /dev/null
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/OwnAdapter.java
@@ -0,0 +1,135 @@
+package org.tamarackfold.standin.http;
+
+import io.vavr.collection.Seq;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.caller.http.CallHeaders;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.metrics.NodeMetrics;
+import org.tamarackfold.operator.Release;
+import org.tamarackfold.operator.toml.ReleaseFile;
+import org.tamarackfold.settings.KeyValueSettings;
+import org.tamarackfold.transport.HttpClientPool;
+
+/** The product's own names and formats, over a key-value service in the same process. */
+public final class OwnAdapter implements PlatformAdapter {
+    private static final String ENDPOINT_PREFIX = "endpoint/";
+
+    private final KeyValueService service;
+
+    /** Creates the adapter over a service that all hosts of the process share. */
+    public OwnAdapter(KeyValueService service) {
+        this.service = service;
+    }
+
+    /** Returns the registration of an endpoint, as decoded by this adapter. */
+    public static KeyValueService.Put registration(EndpointRecord record) {
+        String text =
+                String.join(
+                        " ",
+                        record.service().value(),
+                        record.address().toString(),
+                        record.zone().value(),
+                        Integer.toString(record.slots()),
+                        Boolean.toString(record.leaving()));
+        return new KeyValueService.Put(
+                ENDPOINT_PREFIX + record.id(), text.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    @Override
+    public String name() {
+        return "own";
+    }
+
+    @Override
+    public KeyValueService keyValueService(
+            HttpClientPool client, KeyValueSettings settings, NodeMetrics metrics) {
+        return service;
+    }
+
+    @Override
+    public CallHeaders callHeaders() {
+        return CallHeaders.OWN;
+    }
+
+    @Override
+    public String operatorPrefix() {
+        return "operator/";
+    }
+
+    @Override
+    public String releaseKey() {
+        return "operator/release";
+    }
+
+    @Override
+    public Either<String, Release> decodeRelease(byte[] value) {
+        return ReleaseFile.read(new String(value, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public String retirementPrefix() {
+        return "operator/retire/";
+    }
+
+    @Override
+    public KeyValueService.Put retirementStatus(HostId host, boolean completed) {
+        String text = completed ? "completed" : "running";
+        return new KeyValueService.Put(
+                "retirement/" + host, text.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    @Override
+    public String endpointPrefix() {
+        return ENDPOINT_PREFIX;
+    }
+
+    @Override
+    public EndpointId endpointOf(String key) {
+        return new EndpointId(key.substring(ENDPOINT_PREFIX.length()));
+    }
+
+    @Override
+    public Either<String, EndpointRecord> decodeEndpoint(String key, byte[] value) {
+        String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
+        if (fields.length != 5) {
+            return Either.left("five fields are expected, found " + fields.length);
+        }
+        try {
+            return Either.right(
+                    new EndpointRecord(
+                            endpointOf(key),
+                            new ServiceName(fields[0]),
+                            Address.parse(fields[1]),
+                            new AvailabilityZone(fields[2]),
+                            Integer.parseInt(fields[3]),
+                            Boolean.parseBoolean(fields[4]),
+                            0));
+        } catch (IllegalArgumentException e) {
+            return Either.left(String.valueOf(e.getMessage()));
+        }
+    }
+
+    @Override
+    public String readinessPath() {
+        return "/ready";
+    }
+
+    @Override
+    public String directoryPath() {
+        return "/entries";
+    }
+
+    @Override
+    public byte[] encodeDirectory(Seq<Address> addresses, Duration timeToLive) {
+        return (addresses.mkString("\n") + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/toml/ReleaseFile.java
@@ -0,0 +1,79 @@
+package org.tamarackfold.operator.toml;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.tamarackfold.id.ReleaseVersion;
+import org.tamarackfold.id.RouteName;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.operator.CallerLimits;
+import org.tamarackfold.operator.Release;
+import org.tamarackfold.operator.Repeatability;
+import org.tamarackfold.operator.Route;
+import org.tamarackfold.operator.ServiceDefinition;
+import org.tamarackfold.operator.WeightedService;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.dataformat.toml.TomlMapper;
+
+/** Reads a release in the product's own format. */
+public final class ReleaseFile {
+    private ReleaseFile() {}
+
+    /** Reads a release; left is the reason why the text is malformed. */
+    public static Either<String, Release> read(String text) {
+        try {
+            JsonNode root = new TomlMapper().readTree(text);
+            return Either.right(
+                    new Release(
+                            new ReleaseVersion(root.path("version").asLong(-1)),
+                            Vector.ofAll(root.path("routes")).map(ReleaseFile::route),
+                            Vector.ofAll(root.path("services")).map(ReleaseFile::service),
+                            CallerLimits.DEFAULT));
+        } catch (JacksonException | IllegalArgumentException | NullPointerException e) {
+            return Either.left(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static Route route(JsonNode node) {
+        Repeatability kind = kind(text(node, "kind"));
+        return Route.builder()
+                .name(new RouteName(text(node, "name")))
+                .host(text(node, "host"))
+                .prefix(text(node, "prefix"))
+                .repeatability(kind)
+                .services(Vector.of(new WeightedService(new ServiceName(text(node, "service")), 1)))
+                .timeout(Duration.ofMillis(node.path("timeout_ms").asLong(30_000)))
+                .maximumAttempts(node.path("maximum_attempts").asInt(1))
+                .keepsHistory(node.path("keeps_history").asBoolean(false))
+                .retention(Duration.ofSeconds(node.path("retention_s").asLong(60)))
+                .budgeted(kind.isStream())
+                .build();
+    }
+
+    private static Repeatability kind(String kind) {
+        return switch (kind) {
+            case "idempotent" -> Repeatability.IDEMPOTENT;
+            case "at_most_once" -> Repeatability.AT_MOST_ONCE;
+            case "resumable_stream" -> Repeatability.RESUMABLE_STREAM;
+            case "stream" -> Repeatability.AT_MOST_ONCE_STREAM;
+            default -> throw new IllegalArgumentException("kind is unknown: " + kind);
+        };
+    }
+
+    private static ServiceDefinition service(JsonNode node) {
+        return new ServiceDefinition(
+                new ServiceName(text(node, "name")),
+                node.path("health_path").asString("/health"),
+                node.path("maximum_connections").asInt(100),
+                node.path("tokens_per_event").asInt(0),
+                node.path("slots").asInt(1));
+    }
+
+    private static String text(JsonNode node, String key) {
+        if (!node.path(key).isString()) {
+            throw new IllegalArgumentException(key + " is missing");
+        }
+        return node.path(key).asString();
+    }
+}
