Pass requests to storage hosts through another entry host

Ruled out: storage hosts without primary; the other entry hosts were confirmed within milliseconds at the same time.

Change: entry hosts register where they accept messages, and pass requests on for one another.

Checked: ReplicationTest anotherEntryHostPassesRequestsOn; 121 tests pass.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
@@ -11,14 +11,14 @@
 import org.tamarackfold.peer.PeerChannel;
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
-import org.tamarackfold.peer.ReplicaService;
+import org.tamarackfold.peer.PeerService;
 import org.tamarackfold.time.Scheduler;
 
 /** Messages between hosts in one process, with cut links and lost messages. */
 public final class SimulatedNetwork {
     private final Scheduler scheduler;
     private final RandomGenerator random;
-    private final Map<Address, ReplicaService> hosts = new HashMap<>();
+    private final Map<Address, PeerService> hosts = new HashMap<>();
     private final Set<Link> cuts = new HashSet<>();
     private double lossShare;
 
@@ -31,7 +31,7 @@
     }
 
     /** Starts a host at an address, or replaces the one there. */
-    public void attach(Address address, ReplicaService service) {
+    public void attach(Address address, PeerService service) {
         hosts.put(address, service);
     }
 
@@ -63,7 +63,7 @@
     private CompletableFuture<PeerReply> send(
             Address from, Address target, PeerRequest request, Duration timeout) {
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
-        scheduler.after(timeout, () -> reply.complete(new PeerReply.Unavailable("timed out")));
+        scheduler.after(timeout, () -> reply.complete(new PeerReply.Unreachable("timed out")));
         if (!isLost(from, target)) {
             scheduler.after(delay(), () -> deliver(from, target, request, reply));
         }
@@ -72,9 +72,9 @@
 
     private void deliver(
             Address from, Address target, PeerRequest request, CompletableFuture<PeerReply> reply) {
-        ReplicaService host = hosts.get(target);
+        PeerService host = hosts.get(target);
         if (host == null) {
-            reply.complete(new PeerReply.Unavailable("refused"));
+            reply.complete(new PeerReply.Unreachable("refused"));
             return;
         }
         host.handle(request)
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -252,6 +252,28 @@
         }
     }
 
+    /** An entry host is cut off from all storage hosts. */
+    public static final class EntryHostIsCutOff {
+        /** Guards against refused turns while another entry host reaches the storage hosts. */
+        @Test
+        public void anotherEntryHostPassesRequestsOn() {
+            StorageCluster cluster = StorageCluster.formed(4, 1, 60);
+            cluster.addRelay();
+            for (StorageCluster.StorageHost host : cluster.hosts) {
+                cluster.network.cut(StorageCluster.ENTRY, host.member.address());
+                cluster.network.cut(host.member.address(), StorageCluster.ENTRY);
+            }
+            Promises promises = new Promises(cluster);
+            for (int i = 0; i < 40; i++) {
+                promises.storeTurn();
+                cluster.run(100);
+            }
+            cluster.run(3_000);
+            assertEquals(promises.storedTurns.size(), 40);
+            assertEquals(promises.lostTurns(), List.of());
+        }
+    }
+
     /** All hosts fail, or the key-value service does. */
     public static final class ManyFail {
         /** Guards against confirmed turns that were only in memory. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -22,13 +22,14 @@
 final class StorageCluster {
     private static final Duration SYNC = Duration.ofMillis(2);
     private static final Duration LEASE = Duration.ofSeconds(4);
-    private static final Address ENTRY = new Address("10.0.9.1", 7000);
+    static final Address ENTRY = new Address("10.0.9.1", 7000);
 
     final VirtualScheduler scheduler = new VirtualScheduler();
     final Random random;
     final MemoryKeyValueService keyValue = new MemoryKeyValueService(scheduler);
     final SimulatedNetwork network;
     final ThriftSharedStateCodec codec = new ThriftSharedStateCodec();
+    final MemberTable entryMembers = new MemberTable();
     final LayoutBook entryLayouts = new LayoutBook();
     final HistoryClient client;
     final List<StorageHost> hosts = new ArrayList<>();
@@ -39,8 +40,17 @@
         this.planner = planner;
         random = new Random(seed);
         network = new SimulatedNetwork(scheduler, random);
-        client = new HistoryClient(entryLayouts, network.channelOf(ENTRY), scheduler);
-        follow(new MemberTable(), this::readLayout, "none", () -> {}, scheduler);
+        client =
+                new HistoryClient(
+                        entryLayouts,
+                        new PeerRoutes(
+                                new HostId("entry-1"),
+                                network.channelOf(ENTRY),
+                                entryMembers,
+                                scheduler,
+                                random),
+                        scheduler);
+        follow(entryMembers, this::readLayout, "none", () -> {}, scheduler);
         for (int index = 0; index < size; index++) {
             StorageHost host = new StorageHost(index);
             hosts.add(host);
@@ -55,6 +65,16 @@
         return cluster;
     }
 
+    /** Adds an entry host that passes requests on. */
+    void addRelay() {
+        Address address = new Address("10.0.9.2", 7000);
+        EntryHost relay =
+                new EntryHost(
+                        new HostId("entry-2"), address, new AvailabilityZone("zone-1"), address);
+        network.attach(address, new RelayService(network.channelOf(address)));
+        entryMembers.put(SharedKeys.entryHost(relay.host()), relay);
+    }
+
     void run(long millis) {
         scheduler.advance(Duration.ofMillis(millis));
     }
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -21,6 +21,7 @@
   1: required string host
   2: required string address
   3: required string zone
+  4: required string peerAddress
 }
 
 struct TurnStruct {
@@ -85,6 +86,11 @@
   1: required string host
 }
 
+struct RelayStruct {
+  1: required string address
+  2: required binary request
+}
+
 union RequestStruct {
   1: ReserveStruct reserve
   2: SettleStruct settle
@@ -92,6 +98,7 @@
   4: StoreStruct store
   5: AppendStruct append
   6: PingStruct ping
+  7: RelayStruct relay
 }
 
 struct EmptyStruct {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -17,8 +17,11 @@
 import org.tamarackfold.peer.EntryHost;
 import org.tamarackfold.peer.HistoryClient;
 import org.tamarackfold.peer.LayoutBook;
+import org.tamarackfold.peer.PeerRoutes;
+import org.tamarackfold.peer.RelayService;
 import org.tamarackfold.peer.SharedKeys;
 import org.tamarackfold.peer.SharedStateListener;
+import org.tamarackfold.peer.http.PeerHandler;
 import org.tamarackfold.settings.HostSettings;
 
 /** An entry host: takes the calls of callers and runs them at endpoints. */
@@ -67,6 +70,7 @@
                                         adapter,
                                         new EntryDirectory(parts.members()),
                                         settings.directoryTimeToLive()))
+                        .add(settings.peers(), new PeerHandler(new RelayService(parts.channel())))
                         .add(settings.metrics(), Handlers.metrics(parts.metrics()))
                         .start();
     }
@@ -86,13 +90,27 @@
                 releases,
                 endpoints,
                 parts.client(),
-                new HistoryClient(parts.layouts(), parts.channel(), parts.scheduler()),
+                new HistoryClient(parts.layouts(), routes(), parts.scheduler()),
                 parts.metrics(),
                 parts.random());
     }
 
+    private PeerRoutes routes() {
+        return new PeerRoutes(
+                parts.settings().host(),
+                parts.channel(),
+                parts.members(),
+                parts.scheduler(),
+                parts.random());
+    }
+
     private LeasedKey registration(HostSettings settings) {
-        EntryHost self = new EntryHost(settings.host(), settings.callers().get(), settings.zone());
+        EntryHost self =
+                new EntryHost(
+                        settings.host(),
+                        settings.callers().get(),
+                        settings.zone(),
+                        settings.peers());
         return new LeasedKey(
                 parts.keyValue(),
                 SharedKeys.entryHost(settings.host()),
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/EntryHost.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/EntryHost.java
@@ -10,5 +10,6 @@
  * @param host the host
  * @param address where it accepts calls
  * @param zone its availability zone
+ * @param peerAddress where it accepts messages of other hosts
  */
-public record EntryHost(HostId host, Address address, AvailabilityZone zone) {}
+public record EntryHost(HostId host, Address address, AvailabilityZone zone, Address peerAddress) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -24,13 +24,13 @@
     private static final Duration SETTLE_DEADLINE = Duration.ofSeconds(10);
 
     private final LayoutBook layouts;
-    private final PeerChannel channel;
+    private final PeerRoutes routes;
     private final Scheduler scheduler;
 
     /** Creates a client. */
-    public HistoryClient(LayoutBook layouts, PeerChannel channel, Scheduler scheduler) {
+    public HistoryClient(LayoutBook layouts, PeerRoutes routes, Scheduler scheduler) {
         this.layouts = layouts;
-        this.channel = channel;
+        this.routes = routes;
         this.scheduler = scheduler;
     }
 
@@ -63,16 +63,16 @@
         Layout layout = stored.get().layout();
         ShardId shard = pending.shard().apply(layout);
         Duration timeout = Duration.ofNanos(Math.min(left, REPLY_TIMEOUT.toNanos()));
-        channel.send(
-                        layout.view(shard).primary().address(),
-                        pending.request().apply(shard),
-                        timeout)
+        routes.send(layout.view(shard).primary().address(), pending.request().apply(shard), timeout)
                 .thenAccept(reply -> replied(pending, reply));
     }
 
     private void replied(Pending pending, PeerReply reply) {
         switch (reply) {
-            case PeerReply.NotPrimary(), PeerReply.Unavailable(String _), PeerReply.Stale _ ->
+            case PeerReply.NotPrimary(),
+                    PeerReply.Unavailable(String _),
+                    PeerReply.Unreachable(String _),
+                    PeerReply.Stale _ ->
                     retry(pending);
             case PeerReply.Done(),
                     PeerReply.Exhausted(),
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerChannel.java
@@ -8,7 +8,7 @@
 public interface PeerChannel {
     /**
      * Sends a request. A host that cannot be reached in time counts as {@link
-     * PeerReply.Unavailable}; the future never fails.
+     * PeerReply.Unreachable}; the future never fails.
      */
     CompletableFuture<PeerReply> send(Address address, PeerRequest request, Duration timeout);
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
@@ -32,12 +32,19 @@
     record Stale(Epoch epoch) implements PeerReply {}
 
     /**
-     * No certain answer could be had, or the receiver could not be reached.
+     * No certain answer could be had.
      *
      * @param reason for logs
      */
     record Unavailable(String reason) implements PeerReply {}
 
+    /**
+     * The receiver could not be reached or did not answer in time.
+     *
+     * @param reason for logs
+     */
+    record Unreachable(String reason) implements PeerReply {}
+
     /**
      * The receiver is alive.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Seq;
 import java.time.Duration;
+import org.tamarackfold.id.Address;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.HostId;
@@ -71,6 +72,14 @@
      */
     record Ping(HostId sender) implements PeerRequest {}
 
+    /**
+     * Asks an entry host to pass a request on, because the sender cannot reach its receiver.
+     *
+     * @param address the receiver
+     * @param request the request
+     */
+    record Relay(Address address, PeerRequest request) implements PeerRequest {}
+
     /** Returns a short name for metrics. */
     default String label() {
         return switch (this) {
@@ -80,6 +89,7 @@
             case Store _ -> "store";
             case Append _ -> "append";
             case Ping _ -> "ping";
+            case Relay _ -> "relay";
         };
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -14,7 +14,7 @@
  * Serves the requests of other hosts on a storage host. A primary confirms a record once its own
  * disk and the disks of all other members hold it.
  */
-public final class ReplicaService {
+public final class ReplicaService implements PeerService {
     private static final StructuredLog LOG = StructuredLog.of("replica");
 
     /** Longest wait for one copy; a healthy host answers after one sync and one round trip. */
@@ -49,11 +49,13 @@
         this.clock = clock;
     }
 
-    /** Handles a request; the future never fails. */
+    @Override
     public CompletableFuture<PeerReply> handle(PeerRequest request) {
         return switch (request) {
             case PeerRequest.Ping _ -> done(health());
             case PeerRequest.Append append -> append(append);
+            case PeerRequest.Relay _ ->
+                    done(new PeerReply.Unavailable("a storage host passes nothing on"));
             case PeerRequest.Reserve reserve ->
                     execute(reserve.shard(), shards.reserve(reserve, clock.millis()));
             case PeerRequest.Settle settle ->
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
@@ -21,6 +21,9 @@
 public final class HttpPeerChannel implements PeerChannel {
     static final String PATH = "/peer";
 
+    /** Longest wait for a new connection; hosts are a few ms apart. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(250);
+
     private static final HttpString POST = new HttpString("POST");
     private static final int OK = 200;
 
@@ -44,7 +47,8 @@
                         .path(PATH)
                         .headers(new HeaderMap())
                         .body(MessageCodec.encode(request))
-                        .connectTimeout(timeout)
+                        .connectTimeout(
+                                timeout.compareTo(CONNECT_TIMEOUT) < 0 ? timeout : CONNECT_TIMEOUT)
                         .responseTimeout(timeout)
                         .build();
         client.send(message, new ReplyReader(address, request, reply));
@@ -95,7 +99,7 @@
                 // A connection that has gone silent is not reused, nor are others of its age.
                 client.discardIdle(address);
             }
-            complete(new PeerReply.Unavailable(address + ": " + failure), "unreachable");
+            complete(new PeerReply.Unreachable(address + ": " + failure), "unreachable");
         }
 
         private void complete(PeerReply value, String outcome) {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
@@ -7,7 +7,7 @@
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
-import org.tamarackfold.peer.ReplicaService;
+import org.tamarackfold.peer.PeerService;
 import org.tamarackfold.peer.thrift.MessageCodec;
 import org.tamarackfold.transport.ResponseWriter;
 
@@ -15,10 +15,10 @@
 public final class PeerHandler implements HttpHandler {
     private static final StructuredLog LOG = StructuredLog.of("peer");
 
-    private final ReplicaService service;
+    private final PeerService service;
 
     /** Creates the handler. */
-    public PeerHandler(ReplicaService service) {
+    public PeerHandler(PeerService service) {
         this.service = service;
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -4,6 +4,7 @@
 import io.vavr.collection.Vector;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import org.tamarackfold.id.Address;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.HostId;
@@ -17,6 +18,7 @@
 import org.tamarackfold.peer.thrift.generated.EmptyStruct;
 import org.tamarackfold.peer.thrift.generated.LookUpStruct;
 import org.tamarackfold.peer.thrift.generated.PingStruct;
+import org.tamarackfold.peer.thrift.generated.RelayStruct;
 import org.tamarackfold.peer.thrift.generated.ReplyStruct;
 import org.tamarackfold.peer.thrift.generated.RequestStruct;
 import org.tamarackfold.peer.thrift.generated.ReserveStruct;
@@ -66,6 +68,9 @@
                                     epoch.value(),
                                     target.value(),
                                     records.map(RecordCodec::struct).toJavaList()));
+            case PeerRequest.Relay(Address address, PeerRequest relayed) ->
+                    RequestStruct.relay(
+                            new RelayStruct(address.toString(), ByteBuffer.wrap(encode(relayed))));
             case PeerRequest.Ping(HostId sender) ->
                     RequestStruct.ping(new PingStruct(sender.value()));
         };
@@ -90,6 +95,10 @@
                             new CallId(struct.getLookUp().getCall()));
             case STORE -> store(struct.getStore());
             case APPEND -> append(struct.getAppend());
+            case RELAY ->
+                    new PeerRequest.Relay(
+                            Address.parse(struct.getRelay().getAddress()),
+                            decodeRequest(struct.getRelay().getRequest()));
             case PING -> new PeerRequest.Ping(new HostId(struct.getPing().getHost()));
         };
     }
@@ -138,6 +147,7 @@
                     case PeerReply.NotPrimary() -> ReplyStruct.notPrimary(new EmptyStruct());
                     case PeerReply.Stale(Epoch epoch) -> ReplyStruct.staleEpoch(epoch.value());
                     case PeerReply.Unavailable(String reason) -> ReplyStruct.unavailable(reason);
+                    case PeerReply.Unreachable(String reason) -> ReplyStruct.unavailable(reason);
                     case PeerReply.Alive(StoreId store) -> ReplyStruct.storeId(store.value());
                 });
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
@@ -75,7 +75,10 @@
     public byte[] encode(EntryHost entry) {
         return ThriftBytes.encode(
                 new EntryHostStruct(
-                        entry.host().value(), entry.address().toString(), entry.zone().value()));
+                        entry.host().value(),
+                        entry.address().toString(),
+                        entry.zone().value(),
+                        entry.peerAddress().toString()));
     }
 
     @Override
@@ -84,6 +87,7 @@
         return new EntryHost(
                 new HostId(struct.getHost()),
                 Address.parse(struct.getAddress()),
-                new AvailabilityZone(struct.getZone()));
+                new AvailabilityZone(struct.getZone()),
+                Address.parse(struct.getPeerAddress()));
     }
 }
