End a process that cannot start its host

Cause: an entry host now listens on its peer address, which the training run of the build gave to both of its hosts; the second one failed to bind, the threads of the first kept the process, and the build hung until it was ended after ten minutes (stack dump: no main thread, worker threads idle). A host whose address is taken hung in the same way.

Change: a host that cannot start logs start_failed and exits with 1; the training run gives each listener a port of its own and exits on failure.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/ArchiveTraining.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/ArchiveTraining.java
@@ -15,7 +15,8 @@
     /** Time in which the hosts load what they need, in milliseconds. */
     private static final long RUN_MILLIS = 1_500;
 
-    private static final int PORTS = 6;
+    private static final int PORTS = 8;
+    private static final int FAILED = 1;
 
     private ArchiveTraining() {}
 
@@ -25,8 +26,14 @@
         Files.createDirectories(folder);
         BoundedConsoleHandler.install(System.out);
         List<Integer> ports = freePorts();
-        HostDaemon.start(HostDaemon.read(write(folder, "entry", entry(ports))));
-        HostDaemon.start(HostDaemon.read(write(folder, "storage", storage(folder, ports))));
+        try {
+            HostDaemon.start(HostDaemon.read(write(folder, "entry", entry(ports))));
+            HostDaemon.start(HostDaemon.read(write(folder, "storage", storage(folder, ports))));
+        } catch (IOException | RuntimeException e) {
+            // The threads of a host that has started would keep the process, and so the build.
+            System.err.println("tamarackfold: training failed: " + e);
+            System.exit(FAILED);
+        }
         Thread.sleep(RUN_MILLIS);
         System.exit(0);
     }
@@ -82,7 +89,7 @@
                peers = "127.0.0.1:%d"
                metrics = "127.0.0.1:%d"
                """
-                        .formatted(ports.get(3), ports.get(4) + 1)
+                        .formatted(ports.get(6), ports.get(7))
                 + common(ports)
                 + "[storage]\ntolerated_losses = 0\ndisk_mb = 10\nfolder = \""
                 + folder.resolve("data")
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
@@ -22,6 +22,7 @@
     private static final String SETTINGS_VARIABLE = "TAMARACKFOLD_CONFIG";
 
     private static final int USAGE_ERROR = 2;
+    private static final int START_FAILED = 1;
 
     private HostDaemon() {}
 
@@ -61,7 +62,7 @@
                 .getOrElseThrow(errors -> new IllegalArgumentException(errors.mkString("; ")));
     }
 
-    private static void run(HostSettings settings, Path file) throws IOException {
+    private static void run(HostSettings settings, Path file) {
         BoundedConsoleHandler console = BoundedConsoleHandler.install(System.out);
         StructuredLog log = StructuredLog.of("host");
         log.event("starting")
@@ -70,7 +71,7 @@
                 .with("zone", settings.zone())
                 .info();
         SettingsReload.install(file, log);
-        Host host = start(settings);
+        Host host = startOrExit(settings, log, console);
         log.event("started").with("host", settings.host()).info();
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
@@ -90,6 +91,19 @@
         }
     }
 
+    /** The threads of a host that has started in part would keep the process alive. */
+    private static Host startOrExit(
+            HostSettings settings, StructuredLog log, BoundedConsoleHandler console) {
+        try {
+            return start(settings);
+        } catch (IOException | RuntimeException e) {
+            log.event("start_failed").with("host", settings.host()).with("reason", e).warn();
+            console.close();
+            System.exit(START_FAILED);
+            throw new IllegalStateException("exit returned", e);
+        }
+    }
+
     static Host start(HostSettings settings) throws IOException {
         PlatformAdapter adapter = adapter(settings.adapter());
         return switch (settings.role()) {
