Spread programs evenly over endpoints, let slow endpoints lose their programs

The multiplicative hash of similar names keeps their order, so that one endpoint wins for most programs; the bonus of the preferred endpoint outweighed any load that a single entry host sees.

Ruled out: missing registrations; all engines were registered.

Change: a hash that mixes all bits; a slow endpoint costs in proportion to its latency beyond 1.25 times the median, forgotten with a half-life of 1.5 s; a smaller bonus for the preferred endpoint.

--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -8,6 +8,7 @@
     private EndpointRecord record;
     private int inFlight;
     private double latencyMillis;
+    private long latencyAt;
     private int consecutiveFailures;
     private long avoidedUntilNanos;
     private boolean avoided;
@@ -41,7 +42,8 @@
         inFlight = Math.max(0, inFlight - 1);
     }
 
-    void succeeded(double millis) {
+    void succeeded(double millis, long now) {
+        latencyAt = now;
         consecutiveFailures = 0;
         avoided = false;
         latencyMillis =
@@ -55,6 +57,11 @@
         return latencyMillis;
     }
 
+    /** Returns the time since the last sample of the latency, in ns. */
+    long latencyAgeNanos(long now) {
+        return now - latencyAt;
+    }
+
     int failed() {
         return ++consecutiveFailures;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -145,7 +145,7 @@
 
     private static void observe(EndpointState state, Observation observation, long now) {
         switch (observation) {
-            case Observation.Answered(double millis) -> state.succeeded(millis);
+            case Observation.Answered(double millis) -> state.succeeded(millis, now);
             case Observation.Full() -> state.avoidUntil(now + FULL_PAUSE_NANOS);
             case Observation.Failed() -> {
                 int failures = Math.min(state.failed(), 10);
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
@@ -8,7 +8,7 @@
     private static final double OTHER_ZONE = 0.1;
 
     /** Taken off for the endpoint with the greatest rendezvous hash, in shares of its slots. */
-    private static final double AFFINITY_BONUS = 0.3;
+    private static final double AFFINITY_BONUS = 0.2;
 
     /** Added for an endpoint that is paused after a failure, so that it is the last choice. */
     private static final double AVOIDED = 1000;
@@ -16,8 +16,17 @@
     /** Width of the random part that separates equal costs. */
     static final double TIE_BREAK = 0.05;
 
-    /** Latency relative to the median of the service from which an endpoint counts as slow. */
-    private static final double SLOW_RATIO = 2;
+    /** Latency relative to the median of the service up to which an endpoint counts as normal. */
+    private static final double NORMAL_RATIO = 1.25;
+
+    /** Added for each multiple of the median beyond the normal ratio, in shares of the slots. */
+    private static final double SLOW_WEIGHT = 0.25;
+
+    /** Most that slowness adds, so that a slow endpoint is still chosen before a failing one. */
+    private static final double SLOWEST = 5;
+
+    /** Age at which a latency counts half, in ns; a noisy neighbour lasts about a second. */
+    private static final double LATENCY_HALF_LIFE_NANOS = 1.5e9;
 
     private Placement() {}
 
@@ -29,7 +38,7 @@
             long now) {
         EndpointRecord record = state.record();
         double load = (state.inFlight() + 1.0) / Math.max(1, record.slots());
-        double cost = load * slowness(state, medianLatencyMillis);
+        double cost = load + slowness(state, medianLatencyMillis, now);
         if (!record.zone().equals(ownZone)) {
             cost += OTHER_ZONE;
         }
@@ -42,16 +51,28 @@
         return cost;
     }
 
-    private static double slowness(EndpointState state, double medianLatencyMillis) {
+    /**
+     * The latency of an endpoint that receives no calls is forgotten, so that it is tried again.
+     */
+    private static double slowness(EndpointState state, double medianLatencyMillis, long now) {
         if (medianLatencyMillis == 0 || state.latencyMillis() == 0) {
-            return 1;
+            return 0;
         }
         double ratio = state.latencyMillis() / medianLatencyMillis;
-        return ratio < SLOW_RATIO ? 1 : ratio * ratio;
+        double freshness = Math.pow(0.5, state.latencyAgeNanos(now) / LATENCY_HALF_LIFE_NANOS);
+        double slowness = SLOW_WEIGHT * (ratio - NORMAL_RATIO) * freshness;
+        return Math.min(SLOWEST, Math.max(0, slowness));
     }
 
     static double rendezvous(String affinity, EndpointRecord record) {
-        int hash = (affinity + '/' + record.id()).hashCode() * 0x9E3779B9;
+        int hash = mix(mix(affinity.hashCode()) ^ record.id().value().hashCode());
         return (hash >>> 8) / (double) (1 << 24);
     }
+
+    /** Spreads every bit over all others; similar names would otherwise have similar hashes. */
+    private static int mix(int value) {
+        int mixed = (value ^ (value >>> 16)) * 0x85EBCA6B;
+        mixed = (mixed ^ (mixed >>> 13)) * 0xC2B2AE35;
+        return mixed ^ (mixed >>> 16);
+    }
 }
