--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
@@ -78,9 +78,4 @@
     boolean isBetweenEvents() {
         return pending.size() == 0;
     }
-
-    /** Returns the bytes after the last whole event. */
-    byte[] rest() {
-        return pending.toByteArray();
-    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/PlacementRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/PlacementRequest.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.endpoint;
 
-import io.vavr.collection.HashSet;
 import io.vavr.collection.Set;
 import io.vavr.control.Option;
 import org.tamarackfold.id.EndpointId;
@@ -16,11 +15,6 @@
  */
 public record PlacementRequest(
         ServiceName service, Option<String> affinity, Set<EndpointId> excluded) {
-    /** Returns a request without preference. */
-    public static PlacementRequest of(ServiceName service) {
-        return new PlacementRequest(service, Option.none(), HashSet.empty());
-    }
-
     /** Returns this request with one more endpoint excluded. */
     public PlacementRequest without(EndpointId endpoint) {
         return new PlacementRequest(service, affinity, excluded.add(endpoint));
--- a/tamarackfold/src/main/java/org/tamarackfold/errors/FailureCode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/errors/FailureCode.java
@@ -2,32 +2,6 @@
 
 /** Machine-readable cause of a failure. */
 public enum FailureCode {
-    MALFORMED_REQUEST,
-    TOO_LARGE,
-    INVALID_TOKEN,
-    EXPIRED_TOKEN,
-    WRONG_TENANT,
-    UNKNOWN_TENANT,
-    UNKNOWN_PROGRAM,
-    PROGRAM_ENDED,
-    UNKNOWN_SERVICE,
-    OUT_OF_ORDER,
-    KEY_REUSED,
-    HISTORY_REQUIRED,
-    HISTORY_MISMATCH,
-    BUDGET_EXHAUSTED,
-    LIMIT_REACHED,
-    OVERLOADED,
-    DEADLINE_EXCEEDED,
-    NO_ENDPOINT,
-    ENDPOINT_FAILED,
-    REQUEST_CRASHES_ENDPOINTS,
-    OUTCOME_UNKNOWN,
-    REPLICAS_LOST,
-    SHUTTING_DOWN,
-    CONFLICT,
-    INVALID_NOTE,
-    INVALID_SETTINGS,
-    SERVICE_UNAVAILABLE,
-    CANCELLED
+    /** The service does not answer, or rejects calls for now. */
+    SERVICE_UNAVAILABLE
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -115,7 +115,7 @@
                 parts.keyValue(),
                 SharedKeys.entryHost(settings.host()),
                 parts.codec().encode(self),
-                REGISTRATION_LEASE,
+                parts.registrationLease(REGISTRATION_LEASE),
                 parts.scheduler());
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
@@ -96,6 +96,12 @@
         return random;
     }
 
+    /** Returns the duration of a registration; the service grants no shorter lease than its own. */
+    Duration registrationLease(Duration wanted) {
+        Duration shortest = settings.keyValue().minimumLease();
+        return wanted.compareTo(shortest) < 0 ? shortest : wanted;
+    }
+
     /** Follows all keys with one watch. */
     void watch(PrefixDispatcher dispatcher) {
         new PrefixWatcher(keyValue, "", dispatcher, scheduler, random).start();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -72,7 +72,7 @@
                         parts.keyValue(),
                         SharedKeys.storageHost(settings.host()),
                         parts.codec().encode(self),
-                        REGISTRATION_LEASE,
+                        parts.registrationLease(REGISTRATION_LEASE),
                         parts.scheduler());
         server =
                 new Listeners(parts.runtime())
@@ -115,7 +115,7 @@
         for (ShardId shard : shards.shardIds()) {
             all =
                     all.appendAll(
-                            shards.records(shard)
+                            shards.snapshot(shard)
                                     .map(record -> new RecordCodec.Logged(shard, record)));
         }
         return all;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
@@ -77,9 +77,4 @@
     int size() {
         return turns.size() + charges.values().stream().mapToInt(Map::size).sum();
     }
-
-    void clear() {
-        turns.clear();
-        charges.clear();
-    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -252,8 +252,8 @@
         return shard.view != null && shard.view.contains(ownStore);
     }
 
-    /** Returns all records of a shard. */
-    Vector<StoredRecord> snapshot(ShardId id) {
+    /** Returns all records of a shard, for a joining host or a compaction of the log. */
+    public Vector<StoredRecord> snapshot(ShardId id) {
         return lock.locked(() -> shard(id).records.all());
     }
 
@@ -262,11 +262,6 @@
         return lock.locked(() -> Vector.ofAll(shards.keySet()));
     }
 
-    /** Returns all records of a shard, for a compaction of the log. */
-    public Vector<StoredRecord> records(ShardId id) {
-        return snapshot(id);
-    }
-
     /** Removes expired records; returns how many. */
     public int removeExpired(long nowMillis) {
         return lock.locked(
@@ -275,14 +270,4 @@
                                 .mapToInt(shard -> shard.records.removeExpired(nowMillis))
                                 .sum());
     }
-
-    /** Removes the records of shards that this host has not been a member of. */
-    void dropForeign() {
-        lock.run(
-                () ->
-                        shards.values().stream()
-                                .filter(shard -> shard.view != null)
-                                .filter(shard -> !shard.view.contains(ownStore))
-                                .forEach(shard -> shard.records.clear()));
-    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
@@ -2,8 +2,6 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.id.Address;
@@ -14,8 +12,9 @@
 import org.tamarackfold.peer.thrift.MessageCodec;
 import org.tamarackfold.transport.HttpClientPool;
 import org.tamarackfold.transport.HttpRequest;
-import org.tamarackfold.transport.ResponseListener;
+import org.tamarackfold.transport.ResponseCollector;
 import org.tamarackfold.transport.TransportFailure;
+import org.tamarackfold.transport.TransportFailure.TimedOut;
 
 /** Sends messages to other hosts as HTTP requests with Thrift bodies. */
 public final class HttpPeerChannel implements PeerChannel {
@@ -51,60 +50,34 @@
                                 timeout.compareTo(CONNECT_TIMEOUT) < 0 ? timeout : CONNECT_TIMEOUT)
                         .responseTimeout(timeout)
                         .build();
-        client.send(message, new ReplyReader(address, request, reply));
+        client.send(
+                message,
+                new ResponseCollector(
+                        result -> {
+                            if (result.isLeft() && result.getLeft() instanceof TimedOut) {
+                                // A connection that has gone silent is not reused, nor are others
+                                // of its age.
+                                client.discardIdle(address);
+                            }
+                            PeerReply decoded = result.fold(f -> failed(address, f), this::decode);
+                            metrics.peerCall(request.label(), decoded.getClass().getSimpleName());
+                            reply.complete(decoded);
+                        }));
         return reply;
     }
 
-    private final class ReplyReader implements ResponseListener {
-        private final Address address;
-        private final PeerRequest request;
-        private final CompletableFuture<PeerReply> reply;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-
-        ReplyReader(Address address, PeerRequest request, CompletableFuture<PeerReply> reply) {
-            this.address = address;
-            this.request = request;
-            this.reply = reply;
-        }
-
-        @Override
-        public void onHead(int code, HeaderMap headers) {
-            status = code;
-        }
-
-        @Override
-        public void onBody(ByteBuffer bytes) {
-            byte[] chunk = new byte[bytes.remaining()];
-            bytes.get(chunk);
-            body.writeBytes(chunk);
-        }
-
-        @Override
-        public void onEnd() {
-            if (status != OK) {
-                complete(new PeerReply.Unavailable("status " + status), "rejected");
-                return;
-            }
-            try {
-                complete(MessageCodec.decodeReply(body.toByteArray()), "answered");
-            } catch (IllegalArgumentException e) {
-                complete(new PeerReply.Unavailable(e.getMessage()), "malformed");
-            }
-        }
+    private static PeerReply failed(Address address, TransportFailure failure) {
+        return new PeerReply.Unreachable(address + ": " + failure);
+    }
 
-        @Override
-        public void onFailure(TransportFailure failure) {
-            if (failure instanceof TransportFailure.TimedOut) {
-                // A connection that has gone silent is not reused, nor are others of its age.
-                client.discardIdle(address);
-            }
-            complete(new PeerReply.Unreachable(address + ": " + failure), "unreachable");
+    private PeerReply decode(ResponseCollector.Response response) {
+        if (response.status() != OK) {
+            return new PeerReply.Unavailable("status " + response.status());
         }
-
-        private void complete(PeerReply value, String outcome) {
-            metrics.peerCall(request.label(), outcome);
-            reply.complete(value);
+        try {
+            return MessageCodec.decodeReply(response.body());
+        } catch (IllegalArgumentException e) {
+            return new PeerReply.Unavailable(e.getMessage());
         }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -6,7 +6,5 @@
     MEMBERS,
     LAYOUT,
     ENDPOINTS,
-    CALLS,
-    SHARDS,
-    HISTORY
+    SHARDS
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpClientPool.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpClientPool.java
@@ -7,7 +7,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.LongAdder;
 import org.tamarackfold.id.Address;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -23,7 +22,6 @@
     private final IoRuntime runtime;
     private final long defaultIdleNanos;
     private final Map<XnioIoThread, ThreadPool> pools = new ConcurrentHashMap<>();
-    private final LongAdder connects = new LongAdder();
 
     /**
      * Creates a pool.
@@ -50,20 +48,11 @@
         return exchange;
     }
 
-    /** Returns the number of connections opened so far. */
-    public long connects() {
-        return connects.sum();
-    }
-
     /** Closes idle connections to a peer, because one of them has turned out to be dead. */
     public void discardIdle(Address address) {
         pools.forEach((thread, pool) -> thread.execute(() -> pool.discard(address)));
     }
 
-    void countConnect() {
-        connects.increment();
-    }
-
     long defaultIdleNanos() {
         return defaultIdleNanos;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -73,7 +73,6 @@
     }
 
     private void connect() {
-        client.countConnect();
         setTimer(
                 request.connectTimeout(),
                 () -> fail(new TransportFailure.NotSent("connect timed out")));
