--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -82,7 +82,7 @@
 
     private EndpointState best(PlacementRequest request, long now) {
         double medianLatency = medianLatency(request.service());
-        EndpointState favourite = favourite(request, now);
+        EndpointState preferred = preferred(request, now);
         EndpointState best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (EndpointState state : states.values()) {
@@ -90,7 +90,7 @@
                 continue;
             }
             double cost =
-                    Placement.cost(state, state == favourite, ownZone, medianLatency, now)
+                    Placement.cost(state, state == preferred, ownZone, medianLatency, now)
                             + random.nextDouble() * Placement.TIE_BREAK;
             if (cost < bestCost) {
                 best = state;
@@ -101,7 +101,7 @@
     }
 
     /** Returns the endpoint that calls of the same affinity value share; null without one. */
-    private EndpointState favourite(PlacementRequest request, long now) {
+    private EndpointState preferred(PlacementRequest request, long now) {
         if (request.affinity().isEmpty()) {
             return null;
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Placement.java
@@ -32,7 +32,7 @@
 
     static double cost(
             EndpointState state,
-            boolean favourite,
+            boolean preferred,
             AvailabilityZone ownZone,
             double medianLatencyMillis,
             long now) {
@@ -42,7 +42,7 @@
         if (!record.zone().equals(ownZone)) {
             cost += OTHER_ZONE;
         }
-        if (favourite) {
+        if (preferred) {
             cost -= AFFINITY_BONUS;
         }
         if (state.isAvoided(now)) {
