--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
@@ -22,6 +22,7 @@
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
 import org.tamarackfold.operator.WeightedService;
+import org.tamarackfold.time.Durations;
 import org.xnio.XnioIoThread;
 
 /** One call from its arrival to the end of its answer; runs on the I/O thread of its connection. */
@@ -89,7 +90,7 @@
 
     void start(byte[] received) {
         body = received;
-        Duration wait = min(call.deadline().getOrElse(LONGEST_WAIT), route.timeout());
+        Duration wait = Durations.min(call.deadline().getOrElse(LONGEST_WAIT), route.timeout());
         endsAt = arrivedAt + wait.toNanos();
         long left = TimeUnit.NANOSECONDS.toMillis(endsAt - System.nanoTime());
         if (left <= 0) {
@@ -412,8 +413,4 @@
         }
         line.info();
     }
-
-    private static Duration min(Duration left, Duration right) {
-        return left.compareTo(right) <= 0 ? left : right;
-    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -7,6 +7,7 @@
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.time.Durations;
 import org.tamarackfold.transport.ExchangeHandle;
 import org.tamarackfold.transport.HttpClientPool;
 import org.tamarackfold.transport.HttpRequest;
@@ -73,16 +74,12 @@
                         .path(pathAndQuery)
                         .headers(headers)
                         .body(body)
-                        .connectTimeout(min(CONNECT_TIMEOUT, timeLeft))
+                        .connectTimeout(Durations.min(CONNECT_TIMEOUT, timeLeft))
                         .responseTimeout(timeLeft)
                         .build();
         handle = client.send(request, this);
     }
 
-    private static Duration min(Duration left, Duration right) {
-        return left.compareTo(right) <= 0 ? left : right;
-    }
-
     void cancel() {
         if (handle != null) {
             handle.cancel();
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
@@ -10,6 +10,7 @@
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
 import org.tamarackfold.peer.thrift.MessageCodec;
+import org.tamarackfold.time.Durations;
 import org.tamarackfold.transport.HttpClientPool;
 import org.tamarackfold.transport.HttpRequest;
 import org.tamarackfold.transport.ResponseCollector;
@@ -46,8 +47,7 @@
                         .path(PATH)
                         .headers(new HeaderMap())
                         .body(MessageCodec.encode(request))
-                        .connectTimeout(
-                                timeout.compareTo(CONNECT_TIMEOUT) < 0 ? timeout : CONNECT_TIMEOUT)
+                        .connectTimeout(Durations.min(timeout, CONNECT_TIMEOUT))
                         .responseTimeout(timeout)
                         .build();
         client.send(
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/time/Durations.java
@@ -0,0 +1,13 @@
+package org.tamarackfold.time;
+
+import java.time.Duration;
+
+/** Comparisons of durations. */
+public final class Durations {
+    private Durations() {}
+
+    /** Returns the shorter of two durations. */
+    public static Duration min(Duration left, Duration right) {
+        return left.compareTo(right) <= 0 ? left : right;
+    }
+}
