Remove endpoints at once when most have stayed registered

It counts as in touch from 16.34 s on, and calls reached the endpoint until 16.6 s: DRAIN, 3273 and 3487 ms after the registration ended (bound 2000).

Ruled out: a silent watch (the log shows eight failed calls and then the answer 410), a release in between, a removal that was never read.

Change: removals are held back only for services that would be left with less than half of the endpoints that were usable before the service was lost, so one host that was cut off drops the few that left meanwhile. The first watch after a failure does not wait, because without a change its answer shows the return only after 3 s.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
@@ -41,6 +41,7 @@
     private long nextLease = 1;
     private boolean down;
     private boolean losingAnswers;
+    private long calls;
 
     /** Creates an empty service. */
     public MemoryKeyValueService(Scheduler scheduler) {
@@ -52,6 +53,11 @@
         down = value;
     }
 
+    /** Returns the number of calls so far. */
+    public long calls() {
+        return calls;
+    }
+
     /** Starts or ends a time in which writes take effect and are not answered. */
     public void setLosingAnswers(boolean value) {
         losingAnswers = value;
@@ -59,6 +65,7 @@
 
     private <T> CompletableFuture<Either<Failure, T>> answer(
             java.util.function.Supplier<Either<Failure, T>> call) {
+        calls++;
         CompletableFuture<Either<Failure, T>> result = new CompletableFuture<>();
         scheduler.after(
                 ANSWER_TIME,
@@ -159,6 +166,7 @@
     @Override
     public CompletableFuture<Either<Failure, WatchResult>> watch(
             String prefix, long after, Duration wait) {
+        calls++;
         Watch watch = new Watch(prefix, after, new CompletableFuture<>());
         scheduler.after(ANSWER_TIME, () -> begin(watch, wait));
         return watch.result();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
@@ -34,8 +34,12 @@
         }
 
         static EndpointRecord record() {
+            return record(ID);
+        }
+
+        static EndpointRecord record(EndpointId id) {
             return new EndpointRecord(
-                    ID,
+                    id,
                     new ServiceName("models"),
                     new Address("10.0.0.1", 80),
                     new AvailabilityZone("a"),
@@ -109,5 +113,33 @@
             run(2_500);
             assertEquals(table.size(), 0);
         }
+
+        /**
+         * Guards against calls to an endpoint that left while this host alone was cut off: its
+         * removal was held back for 2.3 s although the other endpoints had stayed registered.
+         */
+        @Test
+        public void removedAtOnceWhenMostEndpointsHaveStayed() {
+            EndpointId other = new EndpointId("engine-2");
+            registry.registered(record(other));
+            serviceLostAndRegained(10_000);
+            registry.listed(Set.of(other), table.ids(), scheduler.nanoTime());
+            assertEquals(table.ids(), Set.of(other));
+        }
+
+        /** Guards against removals that come one by one and leave no endpoint to call. */
+        @Test
+        public void heldBackWhenRemovalsOneByOneLeaveTooFew() {
+            for (int i = 2; i <= 4; i++) {
+                registry.registered(record(new EndpointId("engine-" + i)));
+            }
+            serviceLostAndRegained(5_000);
+            for (int i = 1; i <= 4; i++) {
+                registry.removed(new EndpointId("engine-" + i), scheduler.nanoTime());
+            }
+            assertEquals(table.size(), 2);
+            run(2_200);
+            assertEquals(table.size(), 0);
+        }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
@@ -2,9 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.table.LockRank;
 import org.tamarackfold.table.TableLock;
@@ -12,18 +15,29 @@
 
 /**
  * Applies registrations of endpoints to their table. While the key-value service is disturbed,
- * registrations lapse although the endpoints live; their removal then waits for their return.
+ * registrations lapse although the endpoints live. Where so many are missing that this is the
+ * likely reason, their removal waits for their return.
  */
 public final class EndpointRegistry {
     private static final StructuredLog LOG = StructuredLog.of("endpoint");
 
-    /** Time after the return of the service in which lapsed registrations are back. */
-    private static final Duration RETURN_TIME = Duration.ofMillis(2_300);
+    /**
+     * Time after the return of the service in which lapsed registrations are back: about 2 s by the
+     * contract of the service.
+     */
+    private static final Duration RETURN_TIME = Duration.ofMillis(2_100);
+
+    /**
+     * Share of the endpoints of a service that suffices without those missing. A host that was cut
+     * off alone finds most endpoints registered; after an outage of the service most are missing.
+     */
+    private static final double SUFFICIENT_SHARE = 0.5;
 
     private final TableLock lock = new TableLock(LockRank.MEMBERS);
     private final EndpointTable table;
     private final Scheduler scheduler;
     private final Map<EndpointId, Long> lapsed = new HashMap<>();
+    private Map<ServiceName, Long> usableBefore = Map.of();
     private boolean reachable = true;
     private boolean disturbed;
     private long regainedAt;
@@ -38,6 +52,9 @@
     public void serviceReachable(boolean value, long now) {
         lock.run(
                 () -> {
+                    if (!value) {
+                        usableBefore = table.usable(Set.of());
+                    }
                     reachable = value;
                     disturbed = true;
                     regainedAt = now;
@@ -64,16 +81,51 @@
 
     /** All endpoints that are registered; the others have been removed meanwhile. */
     public void listed(Set<EndpointId> present, Set<EndpointId> known, long now) {
-        known.stream().filter(id -> !present.contains(id)).forEach(id -> removed(id, now));
+        removed(
+                known.stream()
+                        .filter(id -> !present.contains(id))
+                        .collect(Collectors.toUnmodifiableSet()),
+                now);
     }
 
     /** The registration of an endpoint has been removed. */
     public void removed(EndpointId id, long now) {
-        long hold = lock.locked(() -> holdNanos(id, now));
-        if (hold <= 0) {
-            remove(id, "registration removed");
-            return;
+        removed(Set.of(id), now);
+    }
+
+    private void removed(Set<EndpointId> ids, long now) {
+        long hold = lock.locked(() -> remainingReturnNanos(now));
+        Set<ServiceName> scarce = hold > 0 ? lock.locked(() -> scarceWithout(ids)) : Set.of();
+        for (EndpointId id : ids) {
+            boolean needed = table.get(id).exists(record -> needed(record, scarce));
+            if (needed) {
+                holdBack(id, hold, now);
+            } else {
+                remove(id, "registration removed");
+            }
         }
+    }
+
+    private static boolean needed(EndpointRecord record, Set<ServiceName> scarce) {
+        return !record.leaving() && scarce.contains(record.service());
+    }
+
+    /** Returns the services that too few endpoints remain for without those given or lapsed. */
+    private Set<ServiceName> scarceWithout(Set<EndpointId> ids) {
+        Set<EndpointId> missing = new HashSet<>(lapsed.keySet());
+        missing.addAll(ids);
+        Map<ServiceName, Long> remaining = table.usable(missing);
+        return usableBefore.entrySet().stream()
+                .filter(
+                        before ->
+                                remaining.getOrDefault(before.getKey(), 0L)
+                                        < before.getValue() * SUFFICIENT_SHARE)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    private void holdBack(EndpointId id, long hold, long now) {
+        lock.run(() -> lapsed.put(id, now));
         LOG.event("removal_held_back")
                 .with("endpoint", id)
                 .with("ms", Duration.ofNanos(hold).toMillis())
@@ -81,14 +133,6 @@
         scheduler.after(Duration.ofNanos(hold), () -> removeIfStillLapsed(id, now));
     }
 
-    private long holdNanos(EndpointId id, long now) {
-        long hold = remainingReturnNanos(now);
-        if (hold > 0) {
-            lapsed.put(id, now);
-        }
-        return hold;
-    }
-
     /** Returns how long lapsed registrations may still come back, in ns; 0 when calm. */
     private long remainingReturnNanos(long now) {
         if (!disturbed) {
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -5,7 +5,9 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
@@ -57,9 +59,27 @@
         return lock.locked(() -> Option.of(states.remove(id)).map(EndpointState::record));
     }
 
+    /** Returns the registration of an endpoint. */
+    public Option<EndpointRecord> get(EndpointId id) {
+        return lock.locked(() -> Option.of(states.get(id)).map(EndpointState::record));
+    }
+
+    /** Returns, for each service, the number of endpoints that are not leaving. */
+    public Map<ServiceName, Long> usable(Set<EndpointId> excluded) {
+        return lock.locked(
+                () ->
+                        states.values().stream()
+                                .map(EndpointState::record)
+                                .filter(record -> !record.leaving())
+                                .filter(record -> !excluded.contains(record.id()))
+                                .collect(
+                                        Collectors.groupingBy(
+                                                EndpointRecord::service, Collectors.counting())));
+    }
+
     /** Returns the ids of all endpoints. */
-    public java.util.Set<EndpointId> ids() {
-        return lock.locked(() -> java.util.Set.copyOf(states.keySet()));
+    public Set<EndpointId> ids() {
+        return lock.locked(() -> Set.copyOf(states.keySet()));
     }
 
     /** Returns the number of endpoints. */
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -17,8 +17,14 @@
     /** Pause after the first failure; doubles with each further one. */
     private static final long FIRST_PAUSE_MILLIS = 100;
 
-    /** Longest pause after a failure; a returning service is used again within this time. */
-    private static final long LONGEST_PAUSE_MILLIS = 800;
+    /** Wait of the first watch after a failure, so that its answer shows the return at once. */
+    private static final Duration NO_WAIT = Duration.ZERO;
+
+    /**
+     * Longest pause after a failure. Removals are held back from the time at which the return is
+     * noticed, and calls to an endpoint that left must end 3 s after the return.
+     */
+    private static final long LONGEST_PAUSE_MILLIS = 400;
 
     /** Receives what the watcher reads. */
     public interface Listener {
@@ -82,7 +88,8 @@
 
     private void watch(long after) {
         if (!stopped) {
-            service.watch(prefix, after, WAIT).thenAccept(result -> watched(after, result));
+            Duration wait = failures > 0 ? NO_WAIT : WAIT;
+            service.watch(prefix, after, wait).thenAccept(result -> watched(after, result));
         }
     }
 
