Decide the default number of attempts in the product

Cause: the number of endpoints that may run an idempotent call whose route sets none is a decision, and it stood in the adapter of the platform.

The demo's format used 1 for idempotent routes without a number and now gets 3.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/AttemptPolicyTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/AttemptPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import org.tamarackfold.id.RouteName;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.operator.Repeatability;
@@ -30,7 +31,7 @@
                         .prefix("/")
                         .repeatability(repeatability)
                         .services(Vector.of(new WeightedService(new ServiceName("s"), 1)))
-                        .maximumAttempts(attempts)
+                        .maximumAttempts(Option.some(attempts))
                         .build());
     }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -48,9 +49,14 @@
     private final int port;
 
     EntryFixture(int endpointCount) throws IOException {
+        this(endpointCount, 100_000);
+    }
+
+    /** Starts an entry host that takes bodies up to a limit, in bytes. */
+    EntryFixture(int endpointCount, long bodyBytes) throws IOException {
         runtime = IoRuntime.start(1);
         ReleaseBook releases = new ReleaseBook();
-        releases.offer(release());
+        releases.offer(release(bodyBytes));
         for (int i = 0; i < endpointCount; i++) {
             ScriptedEndpoint endpoint = new ScriptedEndpoint();
             endpoints.add(endpoint);
@@ -89,7 +95,7 @@
         }
     }
 
-    private static Release release() {
+    private static Release release(long bodyBytes) {
         return new Release(
                 new ReleaseVersion(1),
                 Vector.of(
@@ -98,7 +104,7 @@
                         route("stream", Repeatability.AT_MOST_ONCE_STREAM, 1),
                         route("turns", Repeatability.AT_MOST_ONCE_STREAM, 1)),
                 Vector.of(new ServiceDefinition(SERVICE, "/health", 10, 5, 4)),
-                new CallerLimits(16_384, 100_000, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+                new CallerLimits(16_384, bodyBytes, Duration.ofSeconds(3), Duration.ofSeconds(15)));
     }
 
     private static Route route(String name, Repeatability repeatability, int attempts) {
@@ -109,7 +115,7 @@
                 .repeatability(repeatability)
                 .services(Vector.of(new WeightedService(SERVICE, 1)))
                 .timeout(Duration.ofMillis(800))
-                .maximumAttempts(attempts)
+                .maximumAttempts(Option.some(attempts))
                 .keepsHistory(name.equals("turns"))
                 .retention(Duration.ofSeconds(60))
                 .budgeted(repeatability.isStream())
--- a/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Seq;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Objects;
 import org.tamarackfold.id.RouteName;
@@ -9,6 +10,12 @@
 
 /** Maps calls by host and path prefix to services, with the rules of these calls. */
 public final class Route {
+    /**
+     * Endpoints that may run an idempotent call whose route sets no number: enough to survive two
+     * endpoints that fail at the same time.
+     */
+    private static final int REPEATABLE_ATTEMPTS = 3;
+
     private final RouteName name;
     private final String host;
     private final String prefix;
@@ -31,12 +38,17 @@
         this.timeout = builder.timeout;
         this.targetLatency = builder.targetLatency;
         this.priority = builder.priority;
-        this.maximumAttempts = builder.maximumAttempts;
+        this.maximumAttempts =
+                builder.maximumAttempts.getOrElse(defaultAttempts(builder.repeatability));
         this.keepsHistory = builder.keepsHistory;
         this.retention = builder.retention;
         this.budgeted = builder.budgeted;
     }
 
+    private static int defaultAttempts(Repeatability repeatability) {
+        return repeatability.mayRepeat() ? REPEATABLE_ATTEMPTS : 1;
+    }
+
     /** Returns a builder. */
     public static Builder builder() {
         return new Builder();
@@ -117,7 +129,7 @@
         private Duration timeout = Duration.ofSeconds(30);
         private Duration targetLatency = Duration.ofSeconds(1);
         private int priority;
-        private int maximumAttempts = 2;
+        private Option<Integer> maximumAttempts = Option.none();
         private boolean keepsHistory;
         private Duration retention = Duration.ZERO;
         private boolean budgeted;
@@ -172,8 +184,8 @@
             return this;
         }
 
-        /** Sets the most endpoints for a call. */
-        public Builder maximumAttempts(int value) {
+        /** Sets the most endpoints that may run a call; none leaves it to the repeatability. */
+        public Builder maximumAttempts(Option<Integer> value) {
             maximumAttempts = value;
             return this;
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/operator/toml/ReleaseFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/toml/ReleaseFile.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import org.tamarackfold.id.ReleaseVersion;
 import org.tamarackfold.id.RouteName;
@@ -44,7 +45,7 @@
                 .repeatability(kind)
                 .services(Vector.of(new WeightedService(new ServiceName(text(node, "service")), 1)))
                 .timeout(Duration.ofMillis(node.path("timeout_ms").asLong(30_000)))
-                .maximumAttempts(node.path("maximum_attempts").asInt(1))
+                .maximumAttempts(Option.of(node.get("maximum_attempts")).map(JsonNode::asInt))
                 .keepsHistory(node.path("keeps_history").asBoolean(false))
                 .retention(Duration.ofSeconds(node.path("retention_s").asLong(60)))
                 .budgeted(kind.isStream())
