Test early answers and kept connections that close

Cause: an endpoint that answers before it has read a long body and reads on later, and an idle connection that closes before or under a call, had no test.

Change: the scripted endpoint can answer before it reads the body and has a small receive buffer. CallHandlerTest.Connections holds four cases. The code under test is unchanged.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/ScriptedEndpoint.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/ScriptedEndpoint.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
@@ -66,15 +67,22 @@
         }
     }
 
+    /** Small, so that a long body cannot be sent before it is read. */
+    private static final int RECEIVE_BUFFER_BYTES = 8_192;
+
+    private record Answer(boolean beforeBody, List<Step> steps) {}
+
     private final ServerSocket server;
-    private final BlockingQueue<List<Step>> script = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Answer> script = new LinkedBlockingQueue<>();
     private final List<Received> received = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByPeer = new AtomicInteger();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     /** Starts an endpoint on a free port of the loopback interface. */
     public ScriptedEndpoint() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        server = new ServerSocket();
+        server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
         Thread.ofVirtual().start(this::acceptLoop);
     }
 
@@ -85,7 +93,13 @@
 
     /** Adds the answer to one more request. */
     public ScriptedEndpoint answer(Step... steps) {
-        script.add(List.of(steps));
+        script.add(new Answer(false, List.of(steps)));
+        return this;
+    }
+
+    /** Adds the answer to one more request, whose body is read only after the answer. */
+    public ScriptedEndpoint answerBeforeBody(Step... steps) {
+        script.add(new Answer(true, List.of(steps)));
         return this;
     }
 
@@ -130,16 +144,9 @@
     private void serve(Socket socket) {
         try (socket) {
             InputStream in = socket.getInputStream();
-            while (true) {
-                Received request = read(in);
-                if (request == null) {
-                    return;
-                }
-                received.add(request);
-                List<Step> steps = script.poll(2, TimeUnit.SECONDS);
-                if (steps == null || !play(steps, socket)) {
-                    return;
-                }
+            String head = readHead(in);
+            while (head != null && serve(head, socket)) {
+                head = readHead(in);
             }
         } catch (IOException e) {
             closedByPeer.incrementAndGet();
@@ -148,6 +155,20 @@
         }
     }
 
+    /** Returns whether the connection stays open. */
+    private boolean serve(String head, Socket socket) throws IOException, InterruptedException {
+        Answer answer = script.peek();
+        if (answer != null && answer.beforeBody()) {
+            script.remove();
+            boolean open = play(answer.steps(), socket);
+            received.add(new Received(head, readBody(head, socket.getInputStream())));
+            return open;
+        }
+        received.add(new Received(head, readBody(head, socket.getInputStream())));
+        Answer next = script.poll(2, TimeUnit.SECONDS);
+        return next != null && play(next.steps(), socket);
+    }
+
     /** Returns whether the connection stays open. */
     private boolean play(List<Step> steps, Socket socket) throws IOException, InterruptedException {
         OutputStream out = socket.getOutputStream();
@@ -183,7 +204,7 @@
         }
     }
 
-    private static Received read(InputStream in) throws IOException {
+    private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
@@ -192,9 +213,11 @@
             }
             head.append((char) next);
         }
-        int length = contentLength(head.toString());
-        return new Received(
-                head.toString(), new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+        return head.toString();
+    }
+
+    private static String readBody(String head, InputStream in) throws IOException {
+        return new String(in.readNBytes(contentLength(head)), StandardCharsets.ISO_8859_1);
     }
 
     private static int contentLength(String head) {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
@@ -112,6 +112,83 @@
         }
     }
 
+    /** Connections that an endpoint treats otherwise than a request for each answer. */
+    public static final class Connections {
+        /** More than the socket buffers of both sides hold. */
+        private static final int LONG_BODY_BYTES = 12_000_000;
+
+        private EntryFixture entry;
+
+        /** Starts an entry host with one endpoint, so that a kept connection is used again. */
+        @BeforeMethod
+        public void start() throws IOException {
+            entry = new EntryFixture(1, LONG_BODY_BYTES);
+        }
+
+        /** Stops the hosts. */
+        @AfterMethod(alwaysRun = true)
+        public void stop() {
+            entry.close();
+        }
+
+        /**
+         * Guards against a request that stands where the endpoint still reads the body of the
+         * request before, which it has answered early.
+         */
+        @Test
+        public void earlyAnswerEndsTheConnection() throws IOException {
+            entry.endpoint()
+                    .answerBeforeBody(
+                            new Step.Send(ScriptedEndpoint.whole("200 OK", SIGNED, "early")),
+                            new Step.Pause(100))
+                    .answer("200 OK", SIGNED, "second");
+            String body = "b".repeat(LONG_BODY_BYTES);
+            assertTrue(entry.call("unsafe", "c1", "", body).endsWith("early"));
+            assertTrue(entry.call("unsafe", "c2", "", "input").endsWith("second"));
+            ScriptedEndpoint.Received last = entry.endpoint().received().getLast();
+            assertTrue(last.head().startsWith("POST /unsafe/x HTTP/1.1\r\n"), last.head());
+            assertEquals(last.body(), "input");
+        }
+
+        /** Guards against losing an answer that arrives while its request is still being sent. */
+        @Test
+        public void earlyAnswerIsRelayedWhole() throws IOException {
+            String answer = "a".repeat(200_000);
+            entry.endpoint()
+                    .answerBeforeBody(
+                            new Step.Send(ScriptedEndpoint.whole("200 OK", SIGNED, answer)),
+                            new Step.Pause(100));
+            String body = "b".repeat(LONG_BODY_BYTES);
+            assertTrue(entry.call("unsafe", "c1", "", body).endsWith("\r\n\r\n" + answer));
+        }
+
+        /** Guards against sending a call on a connection that was closed while it was idle. */
+        @Test
+        public void connectionClosedWhileIdleIsNotUsed() throws Exception {
+            entry.endpoint()
+                    .answer(
+                            new Step.Send(ScriptedEndpoint.whole("200 OK", SIGNED, "first")),
+                            new Step.Pause(20),
+                            new Step.Close())
+                    .answer("200 OK", SIGNED, "second");
+            assertTrue(entry.call("unsafe", "c1", "", "").endsWith("first"));
+            Thread.sleep(200);
+            assertTrue(entry.call("unsafe", "c2", "", "").endsWith("second"));
+        }
+
+        /** Guards against a second run of a call under which a kept connection was closed. */
+        @Test
+        public void connectionClosedUnderACallIsNoRefusal() throws IOException {
+            entry.endpoint()
+                    .answer("200 OK", SIGNED, "first")
+                    .answer(new Step.Reset())
+                    .answer("200 OK", SIGNED, "again");
+            assertTrue(entry.call("unsafe", "c1", "", "").endsWith("first"));
+            assertTrue(entry.call("unsafe", "c2", "", "").startsWith("HTTP/1.1 502"));
+            assertEquals(entry.arrivals(), 2);
+        }
+    }
+
     /** Endpoints that break the protocol. */
     public static final class BrokenAnswers extends Fixture {
         /** Guards against a truncated answer that looks complete. */
