Find the request of the early-answer test by its id

The scripted endpoint notes the first request when the connection of its unread body ends, on a thread of its own, and this can come after the second request. The test took the last one noted for the second request.

Change: the test finds the request by its call id and requires exactly one. Ruled out: a fault of the relay; the body found was that of the first request.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
@@ -145,9 +145,14 @@
             String body = "b".repeat(LONG_BODY_BYTES);
             assertTrue(entry.call("unsafe", "c1", "", body).endsWith("early"));
             assertTrue(entry.call("unsafe", "c2", "", "input").endsWith("second"));
-            ScriptedEndpoint.Received last = entry.endpoint().received().getLast();
-            assertTrue(last.head().startsWith("POST /unsafe/x HTTP/1.1\r\n"), last.head());
-            assertEquals(last.body(), "input");
+            List<ScriptedEndpoint.Received> second =
+                    entry.endpoint().received().stream()
+                            .filter(request -> request.header("Call-Id").equals("c2"))
+                            .toList();
+            assertEquals(second.size(), 1);
+            String head = second.getFirst().head();
+            assertTrue(head.startsWith("POST /unsafe/x HTTP/1.1\r\n"), head);
+            assertEquals(second.getFirst().body(), "input");
         }
 
         /** Guards against losing an answer that arrives while its request is still being sent. */
