Confirm records by enough members of a shard, with a spare one

Ruled out: slow detection (the host is suspected after 0.7 s) and the entry hosts (they ask the right primary all the while).

Change: a shard has one member more than the disks that confirm a record, and the primary waits for enough of them only. What follows: - A member that takes over first collects the records of the other members, which accept nothing more of that epoch, so that records which it lacks are united before the view is in force. It starts with the fewest members and adds the others later. - A primary replaces members at leisure, after 2 s instead of 0.6 s, so a killed process no longer moves its shards. - A member that is certainly complete is not copied again. - An unanswered layout write is repeated after up to 800 ms, not 200.

--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -82,6 +82,19 @@
   4: required list<RecordStruct> records
 }
 
+struct CopyStruct {
+  1: required i32 shard
+  2: required string targetStore
+  3: required list<RecordStruct> records
+}
+
+struct CollectStruct {
+  1: required i32 shard
+  2: required i64 epoch
+  3: required string targetStore
+  4: required i32 batch
+}
+
 struct PingStruct {
   1: required string host
 }
@@ -99,11 +112,18 @@
   5: AppendStruct append
   6: PingStruct ping
   7: RelayStruct relay
+  8: CopyStruct copy
+  9: CollectStruct collect
 }
 
 struct EmptyStruct {
 }
 
+struct CollectedStruct {
+  1: required list<RecordStruct> records
+  2: required i32 batches
+}
+
 union ReplyStruct {
   1: EmptyStruct done
   2: EmptyStruct exhausted
@@ -113,4 +133,5 @@
   6: i64 staleEpoch
   7: string unavailable
   8: string storeId
+  9: CollectedStruct collected
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -46,6 +46,7 @@
     private final SegmentLog log;
     private final ShardTable shards;
     private final Member self;
+    private final LayoutPlanner planner;
     private final LayoutManager manager;
     private final PeerMonitor monitor;
     private final LeasedKey registration;
@@ -65,7 +66,8 @@
         log.start(this::liveRecords);
         self = new Member(settings.host(), log.storeId(), settings.peers(), settings.zone());
         monitor = new PeerMonitor(settings.host(), parts.channel(), parts.scheduler());
-        manager = manager(settings);
+        planner = new LayoutPlanner(settings.toleratedLosses());
+        manager = manager();
         retirement = new Retirement(parts, self);
         registration =
                 new LeasedKey(
@@ -90,7 +92,7 @@
         return node;
     }
 
-    private LayoutManager manager(HostSettings settings) {
+    private LayoutManager manager() {
         return LayoutManager.builder()
                 .self(self)
                 .service(parts.keyValue())
@@ -99,7 +101,8 @@
                 .members(parts.members())
                 .monitor(monitor)
                 .shards(shards)
-                .planner(new LayoutPlanner(settings.toleratedLosses()))
+                .planner(planner)
+                .log(log)
                 .channel(parts.channel())
                 .scheduler(parts.scheduler())
                 .build();
@@ -107,7 +110,13 @@
 
     private ReplicaService replicaService() {
         return new ReplicaService(
-                self, shards, log, parts.channel(), parts.scheduler(), InstantSource.system());
+                self,
+                planner.copies(),
+                shards,
+                log,
+                parts.channel(),
+                parts.scheduler(),
+                InstantSource.system());
     }
 
     private Vector<RecordCodec.Logged> liveRecords() {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -70,6 +70,7 @@
     private void replied(Pending pending, PeerReply reply) {
         switch (reply) {
             case PeerReply.NotPrimary(),
+                    PeerReply.Collected _,
                     PeerReply.Unavailable(String _),
                     PeerReply.Unreachable(String _),
                     PeerReply.Stale _ ->
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -1,13 +1,13 @@
 package org.tamarackfold.peer;
 
 import io.vavr.collection.HashSet;
-import io.vavr.collection.Seq;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.tamarackfold.errors.Failure;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.KeyValueService;
@@ -15,8 +15,8 @@
 import org.tamarackfold.time.Scheduler;
 
 /**
- * Brings the members of shards up to date on a storage host. A change copies all records to the
- * joining hosts and then replaces the layout by compare-and-swap, so that of several hosts that
+ * Brings the members of shards up to date on a storage host. A change copies records to the members
+ * that lack them and then replaces the layout by compare-and-swap, so that of several hosts that
  * change the same shard one succeeds.
  */
 public final class LayoutManager {
@@ -31,11 +31,8 @@
     /** Age of the process before it writes the first layout, so that most hosts are registered. */
     private static final Duration FIRST_LAYOUT_AGE = Duration.ofMillis(1_500);
 
-    /** Longest wait for one batch of copied records. */
-    private static final Duration COPY_TIMEOUT = Duration.ofSeconds(2);
-
-    /** Bytes of text in one batch of copied records. */
-    private static final long BATCH_BYTES = 256 * 1024;
+    /** Longest pause before an unanswered write is repeated; every call to the service counts. */
+    private static final long LONGEST_RETRY_MILLIS = 800;
 
     private final Member self;
     private final KeyValueService service;
@@ -45,7 +42,7 @@
     private final PeerMonitor monitor;
     private final ShardTable shards;
     private final LayoutPlanner planner;
-    private final PeerChannel channel;
+    private final ShardTransfer transfer;
     private final Scheduler scheduler;
     private final long startedAt;
     private boolean busy;
@@ -59,7 +56,8 @@
         this.monitor = builder.monitor;
         this.shards = builder.shards;
         this.planner = builder.planner;
-        this.channel = builder.channel;
+        this.transfer =
+                new ShardTransfer(builder.self, builder.shards, builder.log, builder.channel);
         this.scheduler = builder.scheduler;
         this.startedAt = scheduler.nanoTime();
     }
@@ -118,13 +116,34 @@
                         stored.get().layout(),
                         self.store(),
                         members.storageHosts(),
-                        monitor::isSuspected,
-                        members.retiring());
+                        new CurrentBeliefs());
         if (!changes.isEmpty()) {
             bringAbout(stored.get(), changes);
         }
     }
 
+    private final class CurrentBeliefs implements LayoutPlanner.Beliefs {
+        @Override
+        public boolean isSuspected(Member member) {
+            return monitor.isSuspected(member);
+        }
+
+        @Override
+        public boolean isGone(Member member) {
+            return monitor.isGone(member);
+        }
+
+        @Override
+        public boolean isRetiring(Member member) {
+            return members.retiring().contains(member.host());
+        }
+
+        @Override
+        public boolean needsNewEpoch(View view) {
+            return shards.needsNewEpoch(view);
+        }
+    }
+
     private void watchPeers(Option<LayoutBook.Stored> stored) {
         Set<Member> watched =
                 HashSet.ofAll(stored.map(s -> s.layout().views()).getOrElse(Vector.empty()))
@@ -156,14 +175,10 @@
                     .with("kept", change.kept().map(Member::host).mkString(","))
                     .with("joining", change.joiners().map(Member::host).mkString(","))
                     .info();
-            if (!isPrimary(view)) {
-                shards.fence(view.shard());
-            }
-            shards.startJoining(view.shard(), change.joiners());
             ready =
                     ready.thenCombine(
-                            copyAll(change),
-                            (views, copied) -> copied ? views.append(change.next()) : views);
+                            transfer.prepare(change),
+                            (views, good) -> good ? views.append(change.next()) : views);
         }
         ready.thenCompose(views -> publish(stored, changes, views)).thenAccept(this::ended);
     }
@@ -188,6 +203,10 @@
                         decided -> {
                             if (decided) {
                                 views.forEach(view -> giveUp(view.shard()));
+                                changes.reject(LayoutPlanner.Change::keepsAllMembers)
+                                        .map(LayoutPlanner.Change::next)
+                                        .filter(views::contains)
+                                        .forEach(shards::established);
                             }
                             return decided;
                         });
@@ -199,51 +218,17 @@
         shards.unfence(shard);
     }
 
-    private CompletableFuture<Boolean> copyAll(LayoutPlanner.Change change) {
-        CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
-        Vector<Vector<StoredRecord>> batches = batches(shards.snapshot(change.current().shard()));
-        for (Member joiner : change.joiners()) {
-            for (Vector<StoredRecord> batch : batches) {
-                all =
-                        all.thenCompose(
-                                good ->
-                                        good
-                                                ? copy(change.current(), joiner, batch)
-                                                : CompletableFuture.completedFuture(false));
-            }
-        }
-        return all;
-    }
-
-    private CompletableFuture<Boolean> copy(View view, Member joiner, Seq<StoredRecord> batch) {
-        PeerRequest request =
-                new PeerRequest.Append(view.shard(), view.epoch(), joiner.store(), batch);
-        return channel.send(joiner.address(), request, COPY_TIMEOUT)
-                .thenApply(reply -> reply instanceof PeerReply.Done);
-    }
-
-    private static Vector<Vector<StoredRecord>> batches(Vector<StoredRecord> records) {
-        Vector<Vector<StoredRecord>> batches = Vector.empty();
-        Vector<StoredRecord> batch = Vector.empty();
-        long bytes = 0;
-        for (StoredRecord record : records) {
-            batch = batch.append(record);
-            bytes += record instanceof StoredRecord.Turn turn ? turn.text().length : 64;
-            if (bytes >= BATCH_BYTES) {
-                batches = batches.append(batch);
-                batch = Vector.empty();
-                bytes = 0;
-            }
-        }
-        return batches.append(batch);
-    }
-
     /**
      * Replaces the layout. The future completes once it is certain whether the change was made or
      * can no longer be made: a write without answer may still take effect seconds later, so it is
      * repeated until the service answers.
      */
     private CompletableFuture<Boolean> swap(long expectedRevision, Layout layout) {
+        return swap(expectedRevision, layout, INTERVAL.toMillis());
+    }
+
+    private CompletableFuture<Boolean> swap(
+            long expectedRevision, Layout layout, long retryMillis) {
         return service.write(
                         Vector.of(
                                 new KeyValueService.Expectation(
@@ -252,16 +237,18 @@
                                 new KeyValueService.Put(
                                         SharedKeys.LAYOUT, codec.encode(layout), 0)),
                         Vector.empty())
-                .thenCompose(result -> swapped(expectedRevision, layout, result));
+                .thenCompose(result -> swapped(expectedRevision, layout, retryMillis, result));
     }
 
     private CompletableFuture<Boolean> swapped(
             long expectedRevision,
             Layout layout,
+            long retryMillis,
             Either<Failure, KeyValueService.WriteResult> result) {
         if (result.isLeft()) {
             LOG.event("layout_write_unanswered").with("reason", result.getLeft()).warn();
-            return later(() -> swap(expectedRevision, layout));
+            long next = Math.min(retryMillis * 2, LONGEST_RETRY_MILLIS);
+            return later(retryMillis, () -> swap(expectedRevision, layout, next));
         }
         boolean written = result.get() instanceof KeyValueService.WriteResult.Written;
         LOG.event("layout_write")
@@ -280,7 +267,7 @@
                 .thenCompose(
                         result -> {
                             if (result.isLeft() || result.get().isEmpty()) {
-                                return later(this::readBack);
+                                return later(LONGEST_RETRY_MILLIS, this::readBack);
                             }
                             layoutRead(result.get().get());
                             return CompletableFuture.completedFuture(true);
@@ -288,9 +275,9 @@
     }
 
     private CompletableFuture<Boolean> later(
-            java.util.function.Supplier<CompletableFuture<Boolean>> step) {
+            long millis, Supplier<CompletableFuture<Boolean>> step) {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
-        scheduler.after(INTERVAL, () -> step.get().thenAccept(done::complete));
+        scheduler.after(Duration.ofMillis(millis), () -> step.get().thenAccept(done::complete));
         return done;
     }
 
@@ -304,6 +291,7 @@
         private PeerMonitor monitor;
         private ShardTable shards;
         private LayoutPlanner planner;
+        private RecordLog log;
         private PeerChannel channel;
         private Scheduler scheduler;
 
@@ -357,6 +345,12 @@
             return this;
         }
 
+        /** Sets the durable log of this host. */
+        public Builder log(RecordLog value) {
+            log = value;
+            return this;
+        }
+
         /** Sets the channel to other hosts. */
         public Builder channel(PeerChannel value) {
             channel = value;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
@@ -5,14 +5,18 @@
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import java.util.function.Predicate;
 import org.tamarackfold.id.Epoch;
-import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.id.StoreId;
 
 /** Decides which storage hosts hold which shards. Holds no state. */
 public final class LayoutPlanner {
+    /**
+     * Members of a shard beyond the copies that confirm a record, so that one host that is away
+     * does not stop its shards until their views have changed.
+     */
+    private static final int SPARE_MEMBERS = 1;
+
     private final int copies;
 
     /**
@@ -24,7 +28,7 @@
         this.copies = toleratedLosses + 1;
     }
 
-    /** Returns the number of copies of each record. */
+    /** Returns the number of disks that hold a confirmed record. */
     public int copies() {
         return copies;
     }
@@ -35,8 +39,15 @@
      * @param current the view in force
      * @param kept the members that stay; the first one becomes the primary
      * @param joiners the hosts that join once they hold all records
+     * @param sources the members whose records the deciding host lacks; none at the primary
      */
-    public record Change(View current, Vector<Member> kept, Vector<Member> joiners) {
+    public record Change(
+            View current, Vector<Member> kept, Vector<Member> joiners, Vector<Member> sources) {
+        /** Tells whether the members stay the same, so that only the epoch changes. */
+        public boolean keepsAllMembers() {
+            return joiners.isEmpty() && kept.equals(current.members());
+        }
+
         /** Returns the view that follows. */
         public View next() {
             return current.withMembers(kept.appendAll(joiners));
@@ -63,7 +74,7 @@
                         .appendAll(ordered)
                         .distinct();
         Vector<Member> members = Vector.empty();
-        while (members.size() < copies) {
+        while (members.size() < Math.min(copies + SPARE_MEMBERS, ordered.size())) {
             Member next = inAnotherZone(rotated, members);
             members = members.append(next);
             rotated = rotated.remove(next);
@@ -94,6 +105,21 @@
         return ordered;
     }
 
+    /** What the deciding host believes of the others. */
+    public interface Beliefs {
+        /** Tells whether a host does not answer. */
+        boolean isSuspected(Member member);
+
+        /** Tells whether a host is away for so long that others replace it. */
+        boolean isGone(Member member);
+
+        /** Tells whether a host is being emptied. */
+        boolean isRetiring(Member member);
+
+        /** Tells whether a view needs a new epoch although its members may stay. */
+        boolean needsNewEpoch(View view);
+    }
+
     /**
      * Returns the changes that a host has to bring about: those of shards whose members are lost or
      * retiring, and of which it is the first member that is not lost.
@@ -101,38 +127,79 @@
      * @param layout the layout in force
      * @param own the files of the deciding host
      * @param hosts the registered storage hosts
-     * @param lost tells whether a host counts as lost
-     * @param retiring the hosts that are being emptied
+     * @param beliefs what the deciding host believes of the others
      */
-    public Vector<Change> changes(
-            Layout layout,
-            StoreId own,
-            Set<Member> hosts,
-            Predicate<Member> lost,
-            Set<HostId> retiring) {
+    public Vector<Change> changes(Layout layout, StoreId own, Set<Member> hosts, Beliefs beliefs) {
         Map<StoreId, Integer> load = load(layout);
         Vector<Change> changes = Vector.empty();
         for (View view : layout.views()) {
-            Vector<Member> alive = view.members().filter(lost.negate());
-            if (alive.isEmpty() || !alive.head().store().equals(own)) {
+            Option<Change> change = change(view, own, hosts, beliefs, load);
+            if (change.isEmpty()) {
                 continue;
             }
-            Vector<Member> kept = alive.reject(member -> retiring.contains(member.host()));
-            if (kept.size() == view.members().size() && kept.size() >= copies) {
-                continue;
-            }
-            Vector<Member> joiners = joiners(view, kept, hosts, lost, retiring, load);
-            if (kept.size() + joiners.size() < copies) {
-                continue;
-            }
-            for (Member joiner : joiners) {
+            for (Member joiner : change.get().joiners()) {
                 load = load.put(joiner.store(), load.getOrElse(joiner.store(), 0) + 1);
             }
-            changes = changes.append(new Change(view, kept, joiners));
+            changes = changes.append(change.get());
         }
         return changes;
     }
 
+    private Option<Change> change(
+            View view,
+            StoreId own,
+            Set<Member> hosts,
+            Beliefs beliefs,
+            Map<StoreId, Integer> load) {
+        Vector<Member> alive = view.members().reject(beliefs::isSuspected);
+        if (alive.isEmpty() || !alive.head().store().equals(own)) {
+            return Option.none();
+        }
+        Option<Change> change =
+                view.primary().store().equals(own)
+                        ? repair(view, alive, hosts, beliefs, load)
+                        : takeOver(view, alive, hosts, beliefs, load);
+        return change.filter(c -> c.next().members().size() >= copies);
+    }
+
+    /** Replaces members at leisure while the others suffice to confirm records. */
+    private Option<Change> repair(
+            View view,
+            Vector<Member> alive,
+            Set<Member> hosts,
+            Beliefs beliefs,
+            Map<StoreId, Integer> load) {
+        boolean urgent =
+                alive.size() < copies
+                        || beliefs.needsNewEpoch(view)
+                        || view.members().exists(m -> beliefs.isGone(m) || beliefs.isRetiring(m));
+        if (!urgent && alive.size() < view.members().size()) {
+            return Option.none();
+        }
+        Vector<Member> kept = alive.reject(beliefs::isRetiring);
+        Vector<Member> joiners = joiners(copies + SPARE_MEMBERS, view, kept, hosts, beliefs, load);
+        Change change = new Change(view, kept, joiners, Vector.empty());
+        return change.keepsAllMembers() && !beliefs.needsNewEpoch(view)
+                ? Option.none()
+                : Option.some(change);
+    }
+
+    /** Takes over with the fewest members; the new primary adds the others afterwards. */
+    private Option<Change> takeOver(
+            View view,
+            Vector<Member> alive,
+            Set<Member> hosts,
+            Beliefs beliefs,
+            Map<StoreId, Integer> load) {
+        if (alive.size() <= view.members().size() - copies) {
+            // A record may have been confirmed by members none of which is alive.
+            return Option.none();
+        }
+        Vector<Member> kept = alive.reject(beliefs::isRetiring);
+        Vector<Member> joiners = joiners(copies, view, kept, hosts, beliefs, load);
+        return Option.some(new Change(view, kept, joiners, alive.tail()));
+    }
+
     private static Map<StoreId, Integer> load(Layout layout) {
         Map<StoreId, Integer> load = HashMap.empty();
         for (Member member : layout.views().flatMap(View::members)) {
@@ -141,21 +208,21 @@
         return load;
     }
 
-    private Vector<Member> joiners(
+    private static Vector<Member> joiners(
+            int wanted,
             View view,
             Vector<Member> kept,
             Set<Member> hosts,
-            Predicate<Member> lost,
-            Set<HostId> retiring,
+            Beliefs beliefs,
             Map<StoreId, Integer> load) {
         Vector<Member> chosen = Vector.empty();
         Vector<Member> candidates =
                 Vector.ofAll(hosts)
                         .reject(member -> view.contains(member.store()))
-                        .reject(member -> retiring.contains(member.host()))
-                        .reject(lost)
+                        .reject(beliefs::isRetiring)
+                        .reject(beliefs::isSuspected)
                         .sortBy(member -> load.getOrElse(member.store(), 0));
-        while (kept.size() + chosen.size() < copies && candidates.nonEmpty()) {
+        while (kept.size() + chosen.size() < wanted && candidates.nonEmpty()) {
             Vector<Member> present = kept.appendAll(chosen);
             Member next = inAnotherZone(candidates, present);
             chosen = chosen.append(next);
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerMonitor.java
@@ -27,6 +27,12 @@
      */
     private static final int MISSES_TO_SUSPECT = 3;
 
+    /**
+     * Pings missed in a row from which a host is replaced although its shards work without it. A
+     * killed process is back in less than these 2 s and keeps its records.
+     */
+    private static final int MISSES_TO_REPLACE = 10;
+
     private final TableLock lock = new TableLock(LockRank.MEMBERS);
     private final Map<StoreId, Integer> misses = new HashMap<>();
     private final PeerChannel channel;
@@ -60,6 +66,11 @@
         return lock.locked(() -> misses.getOrDefault(member.store(), 0) >= MISSES_TO_SUSPECT);
     }
 
+    /** Tells whether a host is away for so long, or with its files, that others replace it. */
+    boolean isGone(Member member) {
+        return lock.locked(() -> misses.getOrDefault(member.store(), 0) >= MISSES_TO_REPLACE);
+    }
+
     private void round() {
         for (Member member : lock.locked(() -> watched)) {
             channel.send(member.address(), new PeerRequest.Ping(self), TIMEOUT)
@@ -73,7 +84,7 @@
                 reply instanceof PeerReply.Alive(StoreId store) && store.equals(member.store());
         boolean otherStore = reply instanceof PeerReply.Alive && !alive;
         int before = lock.locked(() -> misses.getOrDefault(member.store(), 0));
-        int now = alive ? 0 : otherStore ? MISSES_TO_SUSPECT : before + 1;
+        int now = alive ? 0 : otherStore ? MISSES_TO_REPLACE : before + 1;
         lock.run(() -> misses.put(member.store(), now));
         boolean suspectedBefore = before >= MISSES_TO_SUSPECT;
         boolean suspectedNow = now >= MISSES_TO_SUSPECT;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.peer;
 
+import io.vavr.collection.Seq;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.StoreId;
 
@@ -45,6 +46,14 @@
      */
     record Unreachable(String reason) implements PeerReply {}
 
+    /**
+     * Records of a member whose shard is taken over.
+     *
+     * @param records one batch
+     * @param batches the number of batches
+     */
+    record Collected(Seq<StoredRecord> records, int batches) implements PeerReply {}
+
     /**
      * The receiver is alive.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
@@ -65,6 +65,27 @@
     record Append(ShardId shard, Epoch epoch, StoreId target, Seq<StoredRecord> records)
             implements PeerRequest {}
 
+    /**
+     * Copies records to a host that is to hold all of them; valid under any epoch, because the
+     * sender counts it towards no confirmation.
+     *
+     * @param shard the shard
+     * @param target the store that the sender means; another one rejects the message
+     * @param records the records
+     */
+    record Copy(ShardId shard, StoreId target, Seq<StoredRecord> records) implements PeerRequest {}
+
+    /**
+     * Asks a member for its records before another member takes a shard over. The receiver accepts
+     * no more records of the epoch, so that its primary cannot confirm any without the others.
+     *
+     * @param shard the shard
+     * @param epoch the epoch that ends
+     * @param target the store that the sender means; another one rejects the message
+     * @param batch the index of the batch; the first one starts a new snapshot
+     */
+    record Collect(ShardId shard, Epoch epoch, StoreId target, int batch) implements PeerRequest {}
+
     /**
      * Asks whether a storage host is alive and which store it holds.
      *
@@ -88,6 +109,8 @@
             case LookUp _ -> "look_up";
             case Store _ -> "store";
             case Append _ -> "append";
+            case Copy _ -> "copy";
+            case Collect _ -> "collect";
             case Ping _ -> "ping";
             case Relay _ -> "relay";
         };
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -6,13 +6,14 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.time.Scheduler;
 
 /**
  * Serves the requests of other hosts on a storage host. A primary confirms a record once its own
- * disk and the disks of all other members hold it.
+ * disk and those of so many other members hold it that it survives the tolerated losses.
  */
 public final class ReplicaService implements PeerService {
     private static final StructuredLog LOG = StructuredLog.of("replica");
@@ -32,16 +33,23 @@
     private final Scheduler scheduler;
     private final InstantSource clock;
     private final Member self;
+    private final int copies;
 
-    /** Creates the service of the given storage host. */
+    /**
+     * Creates the service of the given storage host.
+     *
+     * @param copies the disks that must hold a record before it is confirmed
+     */
     public ReplicaService(
             Member self,
+            int copies,
             ShardTable shards,
             RecordLog log,
             PeerChannel channel,
             Scheduler scheduler,
             InstantSource clock) {
         this.self = self;
+        this.copies = copies;
         this.shards = shards;
         this.log = log;
         this.channel = channel;
@@ -53,7 +61,10 @@
     public CompletableFuture<PeerReply> handle(PeerRequest request) {
         return switch (request) {
             case PeerRequest.Ping _ -> done(health());
-            case PeerRequest.Append append -> append(append);
+            case PeerRequest.Append append ->
+                    accept(shards.append(append), append.shard(), append.records());
+            case PeerRequest.Copy copy -> accept(shards.copy(copy), copy.shard(), copy.records());
+            case PeerRequest.Collect collect -> done(shards.collect(collect));
             case PeerRequest.Relay _ ->
                     done(new PeerReply.Unavailable("a storage host passes nothing on"));
             case PeerRequest.Reserve reserve ->
@@ -77,16 +88,15 @@
         return CompletableFuture.completedFuture(reply);
     }
 
-    private CompletableFuture<PeerReply> append(PeerRequest.Append request) {
-        Option<PeerReply> rejection = shards.append(request);
+    private CompletableFuture<PeerReply> accept(
+            Option<PeerReply> rejection, ShardId shard, Seq<StoredRecord> records) {
         if (rejection.isDefined()) {
             return done(rejection.get());
         }
-        if (request.records().isEmpty()) {
+        if (records.isEmpty()) {
             return done(new PeerReply.Done());
         }
-        return log.append(request.shard(), request.records())
-                .thenApply(unused -> new PeerReply.Done());
+        return log.append(shard, records).thenApply(unused -> new PeerReply.Done());
     }
 
     private CompletableFuture<PeerReply> execute(ShardId shard, ShardTable.Decision decision) {
@@ -106,24 +116,31 @@
     }
 
     private static PeerReply unconfirmed() {
-        return new PeerReply.Unavailable("not confirmed by all members");
+        return new PeerReply.Unavailable("not confirmed by enough members");
     }
 
-    /** Copies records to all members of the view, again under the next view when it changes. */
+    /** Copies records to the members of the view, again under the next view when it changes. */
     private CompletableFuture<Boolean> replicate(
             ShardId shard, Seq<StoredRecord> records, long giveUpAt) {
         ShardTable.Targets targets = shards.targets(shard);
         return switch (targets) {
             case ShardTable.Targets.None() -> CompletableFuture.completedFuture(false);
-            case ShardTable.Targets.Primary(View view, Vector<Member> others) ->
-                    copyToAll(view, others, records)
-                            .thenCompose(all -> afterCopies(view, all, shard, records, giveUpAt));
+            case ShardTable.Targets.Primary primary ->
+                    copy(primary, records)
+                            .thenCompose(
+                                    enough ->
+                                            afterCopies(
+                                                    primary.view(),
+                                                    enough,
+                                                    shard,
+                                                    records,
+                                                    giveUpAt));
         };
     }
 
     private CompletableFuture<Boolean> afterCopies(
-            View view, boolean all, ShardId shard, Seq<StoredRecord> records, long giveUpAt) {
-        if (all && stillPrimary(view)) {
+            View view, boolean enough, ShardId shard, Seq<StoredRecord> records, long giveUpAt) {
+        if (enough && stillPrimary(view)) {
             return CompletableFuture.completedFuture(true);
         }
         if (scheduler.nanoTime() - giveUpAt > 0) {
@@ -141,21 +158,41 @@
     }
 
     private boolean stillPrimary(View view) {
-        return shards.targets(view.shard()) instanceof ShardTable.Targets.Primary(View now, var _)
+        return shards.targets(view.shard())
+                        instanceof ShardTable.Targets.Primary(View now, var _, var _)
                 && now.epoch().equals(view.epoch());
     }
 
-    private CompletableFuture<Boolean> copyToAll(
-            View view, Vector<Member> others, Seq<StoredRecord> records) {
-        CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
-        for (Member member : others) {
+    private CompletableFuture<Boolean> copy(
+            ShardTable.Targets.Primary primary, Seq<StoredRecord> records) {
+        View view = primary.view();
+        Vector<Member> receivers =
+                primary.others().appendAll(primary.required().removeAll(primary.others()));
+        int membersNeeded = Math.min(copies, view.members().size()) - 1;
+        CopyRound round = new CopyRound(membersNeeded, primary.required().size(), receivers.size());
+        for (Member receiver : receivers) {
             PeerRequest request =
-                    new PeerRequest.Append(view.shard(), view.epoch(), member.store(), records);
-            CompletableFuture<Boolean> copied =
-                    channel.send(member.address(), request, APPEND_TIMEOUT)
-                            .thenApply(reply -> reply instanceof PeerReply.Done);
-            all = all.thenCombine(copied, (left, right) -> left && right);
+                    new PeerRequest.Append(view.shard(), view.epoch(), receiver.store(), records);
+            boolean member = primary.others().contains(receiver);
+            boolean required = primary.required().contains(receiver);
+            shards.copySent(view, receiver);
+            channel.send(receiver.address(), request, APPEND_TIMEOUT)
+                    .thenAccept(
+                            reply ->
+                                    round.answered(
+                                            member, required, acknowledged(view, receiver, reply)));
         }
-        return all;
+        return round.result();
+    }
+
+    private boolean acknowledged(View view, Member receiver, PeerReply reply) {
+        if (reply instanceof PeerReply.Done) {
+            shards.copyAcknowledged(view, receiver);
+            return true;
+        }
+        if (reply instanceof PeerReply.Stale(Epoch epoch) && epoch.equals(view.epoch())) {
+            shards.copyRefused(view);
+        }
+        return false;
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -24,11 +24,25 @@
     /** Added to the retention of turns against clocks that differ between hosts, in ms. */
     private static final long CLOCK_MARGIN_MILLIS = 30_000;
 
+    private static final Epoch NO_EPOCH = new Epoch(-1);
+
     private static final class Shard {
         private final ShardRecords records = new ShardRecords();
+        private final CopyProgress copies = new CopyProgress();
         private View view;
-        private Epoch highestSeen = new Epoch(-1);
+        private Epoch highestSeen = NO_EPOCH;
+
+        /** This host is about to take the shard over, unless it gives the change up. */
         private boolean fenced;
+
+        /** Latest epoch under which this host gave its records to a host that takes over. */
+        private Epoch collectedThrough = NO_EPOCH;
+
+        private Vector<Vector<StoredRecord>> collected = Vector.empty();
+
+        /** Latest epoch of which a member accepts no more records. */
+        private Epoch refused = NO_EPOCH;
+
         private Set<Member> joining = HashSet.empty();
     }
 
@@ -56,9 +70,11 @@
          * This host is the primary.
          *
          * @param view the view
-         * @param others the other members, and the hosts that are about to join
+         * @param others the other members
+         * @param required the hosts that a change of the view requires to hold all records
          */
-        record Primary(View view, Vector<Member> others) implements Targets {}
+        record Primary(View view, Vector<Member> others, Vector<Member> required)
+                implements Targets {}
 
         /** This host is not the primary, or is giving the shard away. */
         record None() implements Targets {}
@@ -95,6 +111,10 @@
         shard.view = view;
         shard.fenced = false;
         shard.joining = HashSet.empty();
+        // A member that holds a record without its primary holds one that was never confirmed.
+        Set<Member> complete =
+                shard.records.size() == 0 ? HashSet.ofAll(view.members()) : HashSet.empty();
+        shard.copies.start(view.epoch(), complete.map(Member::store));
         if (shard.highestSeen.compareTo(view.epoch()) < 0) {
             shard.highestSeen = view.epoch();
         }
@@ -110,9 +130,53 @@
         lock.run(() -> shard(id).fenced = false);
     }
 
-    /** Adds hosts to which new records are copied while they receive the present ones. */
+    /** The members of a view in force all hold the records of its shard. */
+    void established(View view) {
+        lock.run(
+                () -> {
+                    Shard shard = shard(view.shard());
+                    if (view.equals(shard.view)) {
+                        shard.copies.start(
+                                view.epoch(), HashSet.ofAll(view.members()).map(Member::store));
+                    }
+                });
+    }
+
+    /** Requires hosts to hold new records while they receive the present ones. */
     void startJoining(ShardId id, Seq<Member> members) {
-        lock.run(() -> shard(id).joining = shard(id).joining.addAll(members));
+        lock.run(
+                () ->
+                        shard(id).joining =
+                                HashSet.ofAll(members)
+                                        .reject(member -> member.store().equals(ownStore)));
+    }
+
+    /** Tells whether a member certainly holds all records of a shard. */
+    boolean isComplete(ShardId id, Member member) {
+        return lock.locked(() -> shard(id).copies.isComplete(member.store()));
+    }
+
+    /** Records have been sent to a member under a view. */
+    void copySent(View view, Member member) {
+        lock.run(() -> shard(view.shard()).copies.sent(view.epoch(), member.store()));
+    }
+
+    /** A member has acknowledged records under a view. */
+    void copyAcknowledged(View view, Member member) {
+        lock.run(() -> shard(view.shard()).copies.acknowledged(view.epoch(), member.store()));
+    }
+
+    /**
+     * A member accepts no more records of an epoch, because a host that wanted to take the shard
+     * over has collected them. Where that host gave up, only a new epoch brings the member back.
+     */
+    void copyRefused(View view) {
+        lock.run(() -> shard(view.shard()).refused = view.epoch());
+    }
+
+    /** Tells whether a view needs a new epoch although its members may stay. */
+    boolean needsNewEpoch(View view) {
+        return lock.locked(() -> shard(view.shard()).refused.equals(view.epoch()));
     }
 
     /** Forgets joining hosts after a change of the view was given up. */
@@ -128,15 +192,15 @@
                     if (!isPrimary(shard)) {
                         return new Targets.None();
                     }
-                    Vector<Member> others = shard.view.members().tail();
                     return new Targets.Primary(
-                            shard.view, others.appendAll(shard.joining.removeAll(others)));
+                            shard.view, shard.view.members().tail(), shard.joining.toVector());
                 });
     }
 
     private boolean isPrimary(Shard shard) {
         return shard.view != null
                 && !shard.fenced
+                && shard.collectedThrough.compareTo(shard.view.epoch()) < 0
                 && shard.view.primary().store().equals(ownStore)
                 && shard.highestSeen.compareTo(shard.view.epoch()) <= 0;
     }
@@ -232,6 +296,9 @@
                     if (!request.target().equals(ownStore)) {
                         return Option.some(new PeerReply.Unavailable("another store"));
                     }
+                    if (request.epoch().compareTo(shard.collectedThrough) <= 0) {
+                        return Option.some(new PeerReply.Stale(shard.highestSeen));
+                    }
                     if (isMember(shard)) {
                         int order = request.epoch().compareTo(shard.highestSeen);
                         if (order < 0 || (order == 0 && shard.fenced)) {
@@ -245,13 +312,51 @@
     }
 
     /**
-     * A host that is about to join accepts every copy: a primary also needs the consent of all
-     * members of its view, and a member that starts a later view refuses it.
+     * A host that is about to join accepts every copy: a primary also needs the consent of enough
+     * members of its view, and those that take part in a later view refuse it.
      */
     private boolean isMember(Shard shard) {
         return shard.view != null && shard.view.contains(ownStore);
     }
 
+    /** Applies records that this host is to hold under any epoch; none when accepted. */
+    Option<PeerReply> copy(PeerRequest.Copy request) {
+        if (!request.target().equals(ownStore)) {
+            return Option.some(new PeerReply.Unavailable("another store"));
+        }
+        merge(request.shard(), request.records());
+        return Option.none();
+    }
+
+    /** Applies records that were collected from another member. */
+    void merge(ShardId id, Seq<StoredRecord> records) {
+        lock.run(() -> records.forEach(shard(id).records::apply));
+    }
+
+    /** Gives the records of a shard to a host that takes it over, and ends the epoch here. */
+    PeerReply collect(PeerRequest.Collect request) {
+        return lock.locked(
+                () -> {
+                    Shard shard = shard(request.shard());
+                    if (!request.target().equals(ownStore)) {
+                        return new PeerReply.Unavailable("another store");
+                    }
+                    if (request.epoch().compareTo(shard.highestSeen) < 0) {
+                        return new PeerReply.Stale(shard.highestSeen);
+                    }
+                    shard.highestSeen = request.epoch();
+                    shard.collectedThrough = request.epoch();
+                    if (request.batch() == 0) {
+                        shard.collected = RecordBatches.of(shard.records.all());
+                    }
+                    if (request.batch() >= shard.collected.size()) {
+                        return new PeerReply.Unavailable("no such batch");
+                    }
+                    return new PeerReply.Collected(
+                            shard.collected.get(request.batch()), shard.collected.size());
+                });
+    }
+
     /** Returns all records of a shard, for a joining host or a compaction of the log. */
     public Vector<StoredRecord> snapshot(ShardId id) {
         return lock.locked(() -> shard(id).records.all());
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
@@ -8,6 +8,14 @@
     /** Returns the time until which the record is kept, in Unix milliseconds. */
     long keepUntilMillis();
 
+    /** Returns a value that is equal for records that need not be copied a second time. */
+    default Object identity() {
+        return switch (this) {
+            case Turn turn -> turn.call();
+            case Charge charge -> charge;
+        };
+    }
+
     /**
      * The history up to and including a turn.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/View.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/View.java
@@ -6,7 +6,8 @@
 import org.tamarackfold.id.StoreId;
 
 /**
- * The members of a shard under one epoch. Each of them holds every confirmed record.
+ * The members of a shard under one epoch. The primary holds every confirmed record, and so many
+ * others that any members which outnumber the spare ones hold them all between them.
  *
  * @param shard the shard
  * @param epoch increases with every change of the members
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -15,6 +15,9 @@
 import org.tamarackfold.peer.PeerRequest;
 import org.tamarackfold.peer.StoredRecord;
 import org.tamarackfold.peer.thrift.generated.AppendStruct;
+import org.tamarackfold.peer.thrift.generated.CollectStruct;
+import org.tamarackfold.peer.thrift.generated.CollectedStruct;
+import org.tamarackfold.peer.thrift.generated.CopyStruct;
 import org.tamarackfold.peer.thrift.generated.EmptyStruct;
 import org.tamarackfold.peer.thrift.generated.LookUpStruct;
 import org.tamarackfold.peer.thrift.generated.PingStruct;
@@ -68,6 +71,15 @@
                                     epoch.value(),
                                     target.value(),
                                     records.map(RecordCodec::struct).toJavaList()));
+            case PeerRequest.Copy(ShardId shard, StoreId target, Seq<StoredRecord> records) ->
+                    RequestStruct.copy(
+                            new CopyStruct(
+                                    shard.value(),
+                                    target.value(),
+                                    records.map(RecordCodec::struct).toJavaList()));
+            case PeerRequest.Collect(ShardId shard, Epoch epoch, StoreId target, int batch) ->
+                    RequestStruct.collect(
+                            new CollectStruct(shard.value(), epoch.value(), target.value(), batch));
             case PeerRequest.Relay(Address address, PeerRequest relayed) ->
                     RequestStruct.relay(
                             new RelayStruct(address.toString(), ByteBuffer.wrap(encode(relayed))));
@@ -95,6 +107,8 @@
                             new CallId(struct.getLookUp().getCall()));
             case STORE -> store(struct.getStore());
             case APPEND -> append(struct.getAppend());
+            case COPY -> copy(struct.getCopy());
+            case COLLECT -> collect(struct.getCollect());
             case RELAY ->
                     new PeerRequest.Relay(
                             Address.parse(struct.getRelay().getAddress()),
@@ -136,6 +150,21 @@
                 Vector.ofAll(struct.getRecords()).map(RecordCodec::record));
     }
 
+    private static PeerRequest copy(CopyStruct struct) {
+        return new PeerRequest.Copy(
+                new ShardId(struct.getShard()),
+                new StoreId(struct.getTargetStore()),
+                Vector.ofAll(struct.getRecords()).map(RecordCodec::record));
+    }
+
+    private static PeerRequest collect(CollectStruct struct) {
+        return new PeerRequest.Collect(
+                new ShardId(struct.getShard()),
+                new Epoch(struct.getEpoch()),
+                new StoreId(struct.getTargetStore()),
+                struct.getBatch());
+    }
+
     /** Encodes a reply. */
     public static byte[] encode(PeerReply reply) {
         return ThriftBytes.encode(
@@ -149,6 +178,11 @@
                     case PeerReply.Unavailable(String reason) -> ReplyStruct.unavailable(reason);
                     case PeerReply.Unreachable(String reason) -> ReplyStruct.unavailable(reason);
                     case PeerReply.Alive(StoreId store) -> ReplyStruct.storeId(store.value());
+                    case PeerReply.Collected(Seq<StoredRecord> records, int batches) ->
+                            ReplyStruct.collected(
+                                    new CollectedStruct(
+                                            records.map(RecordCodec::struct).toJavaList(),
+                                            batches));
                 });
     }
 
@@ -171,6 +205,11 @@
             case STALE_EPOCH -> new PeerReply.Stale(new Epoch(struct.getStaleEpoch()));
             case UNAVAILABLE -> new PeerReply.Unavailable(struct.getUnavailable());
             case STORE_ID -> new PeerReply.Alive(new StoreId(struct.getStoreId()));
+            case COLLECTED ->
+                    new PeerReply.Collected(
+                            Vector.ofAll(struct.getCollected().getRecords())
+                                    .map(RecordCodec::record),
+                            struct.getCollected().getBatches());
         };
     }
 }
