Keep the turns of a program in the shard of its budget

Ruled out: more members in a shard, which do not help while the primary is away; caching histories on entry hosts, which does not cover storing.

Change: turns lie in the shard of their program. A program that continues from a turn of another program asks the other shards after its own; a turn is absent only where all of them say so.

Tests: turnOfAnotherProgramIsFound, turnIsNotAbsentWhileAShardCannotAnswer.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -201,7 +201,7 @@
         }
 
         @Override
-        public CompletableFuture<Lookup> lookUp(CallId turn, Duration deadline) {
+        public CompletableFuture<Lookup> lookUp(ProgramId program, CallId turn, Duration deadline) {
             byte[] text = turns.get(turn);
             return CompletableFuture.completedFuture(
                     text == null ? new Lookup.Absent() : new Lookup.Found(text));
@@ -209,7 +209,11 @@
 
         @Override
         public CompletableFuture<Boolean> store(
-                CallId turn, byte[] text, Duration retention, Duration deadline) {
+                ProgramId program,
+                CallId turn,
+                byte[] text,
+                Duration retention,
+                Duration deadline) {
             if (storing) {
                 turns.put(turn, text);
                 stored.add(turn + "=" + new String(text, StandardCharsets.UTF_8));
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/Promises.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/Promises.java
@@ -27,11 +27,21 @@
         this.cluster = cluster;
     }
 
+    /** Returns the program that makes a turn; each turn has its own, over all shards. */
+    static ProgramId programOf(CallId turn) {
+        return new ProgramId("program-of-" + turn);
+    }
+
     void storeTurn() {
         CallId call = new CallId("turn-" + next++);
         String text = "history of " + call;
         cluster.client
-                .store(call, text.getBytes(StandardCharsets.UTF_8), RETENTION, PATIENCE)
+                .store(
+                        programOf(call),
+                        call,
+                        text.getBytes(StandardCharsets.UTF_8),
+                        RETENTION,
+                        PATIENCE)
                 .thenAccept(
                         stored -> {
                             if (stored) {
@@ -58,7 +68,9 @@
     List<String> lostTurns() {
         List<String> lost = new ArrayList<>();
         Map<CallId, CompletableFuture<TurnHistory.Lookup>> answers = new HashMap<>();
-        storedTurns.keySet().forEach(c -> answers.put(c, cluster.client.lookUp(c, PATIENCE)));
+        storedTurns
+                .keySet()
+                .forEach(c -> answers.put(c, cluster.client.lookUp(programOf(c), c, PATIENCE)));
         cluster.run(PATIENCE.toMillis() + 1_000);
         answers.forEach(
                 (call, answer) -> {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -102,10 +102,43 @@
         public void unknownTurnIsAbsent() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 5);
             CompletableFuture<TurnHistory.Lookup> lookup =
-                    cluster.client.lookUp(new CallId("unknown"), Promises.PATIENCE);
+                    cluster.client.lookUp(
+                            new ProgramId("p"), new CallId("unknown"), Promises.PATIENCE);
             cluster.run(500);
             assertTrue(lookup.getNow(null) instanceof TurnHistory.Lookup.Absent);
         }
+
+        /** Guards against calling a turn absent that another program made. */
+        @Test
+        public void turnOfAnotherProgramIsFound() {
+            StorageCluster cluster = StorageCluster.formed(4, 1, 6);
+            Promises promises = new Promises(cluster);
+            for (int i = 0; i < 20; i++) {
+                promises.storeTurn();
+            }
+            cluster.run(500);
+            for (CallId turn : promises.storedTurns.keySet()) {
+                CompletableFuture<TurnHistory.Lookup> lookup =
+                        cluster.client.lookUp(new ProgramId("p"), turn, Promises.PATIENCE);
+                cluster.run(100);
+                assertTrue(lookup.getNow(null) instanceof TurnHistory.Lookup.Found, "" + turn);
+            }
+        }
+
+        /** Guards against calling a turn absent while a shard that may hold it cannot answer. */
+        @Test
+        public void turnIsNotAbsentWhileAShardCannotAnswer() {
+            StorageCluster cluster = StorageCluster.formed(4, 1, 7);
+            cluster.keyValue.setDown(true);
+            cluster.hosts.get(0).kill();
+            CompletableFuture<TurnHistory.Lookup> lookup =
+                    cluster.client.lookUp(
+                            new ProgramId("p"), new CallId("unknown"), Promises.PATIENCE);
+            cluster.run(Promises.PATIENCE.toMillis() + 500);
+            assertTrue(
+                    lookup.getNow(null) instanceof TurnHistory.Lookup.Unavailable,
+                    String.valueOf(lookup.getNow(null)));
+        }
     }
 
     /** One host fails. */
@@ -290,7 +323,8 @@
                 for (int i = 0; i < 100; i++) {
                     CallId call = new CallId("turn-" + i);
                     Layout layout = cluster.layout();
-                    Member primary = layout.view(layout.shardOf(call)).primary();
+                    Member primary =
+                            layout.view(layout.shardOf(Promises.programOf(call))).primary();
                     expected += primary.equals(away.member) ? 0 : 1;
                     promises.storeTurn();
                     cluster.run(50);
@@ -386,7 +420,7 @@
             for (int i = 40; i < 100; i++) {
                 CallId call = new CallId("turn-" + i);
                 Layout layout = cluster.layout();
-                Member answering = layout.view(layout.shardOf(call)).primary();
+                Member answering = layout.view(layout.shardOf(Promises.programOf(call))).primary();
                 expected += answering.equals(second.member) ? 0 : 1;
                 promises.storeTurn();
                 cluster.run(20);
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -74,7 +74,7 @@
         if (!route.keepsHistory() || turn.parent().isEmpty()) {
             return CompletableFuture.completedFuture(new TurnHistory.Lookup.Found(parentText));
         }
-        return history.lookUp(turn.parent().get(), limit);
+        return history.lookUp(turn.program(), turn.parent().get(), limit);
     }
 
     private Preparation combine(TurnHistory.Reservation reservation, TurnHistory.Lookup lookup) {
@@ -124,7 +124,12 @@
         if (!keepsHistory()) {
             return CompletableFuture.completedFuture(true);
         }
-        return history.store(call.id(), concat(fullBody, output), route.retention(), timeLeft);
+        return history.store(
+                call.turn().get().program(),
+                call.id(),
+                concat(fullBody, output),
+                route.retention(),
+                timeLeft);
     }
 
     /** Replaces the reservation by what was used; does nothing the second time. */
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -127,14 +127,55 @@
     }
 
     @Override
-    public CompletableFuture<Lookup> lookUp(CallId turn, Duration deadline) {
-        return ask(
-                        layout -> layout.shardOf(turn),
-                        shard -> new PeerRequest.LookUp(shard, turn),
-                        deadline)
+    public CompletableFuture<Lookup> lookUp(ProgramId program, CallId turn, Duration deadline) {
+        long endsAt = scheduler.nanoTime() + deadline.toNanos();
+        return lookUpIn(layout -> layout.shardOf(program), turn, deadline)
+                .thenCompose(
+                        result ->
+                                result instanceof Lookup.Absent
+                                        ? lookUpElsewhere(program, turn, endsAt)
+                                        : CompletableFuture.completedFuture(result));
+    }
+
+    private CompletableFuture<Lookup> lookUpIn(
+            Function<Layout, ShardId> shard, CallId turn, Duration deadline) {
+        return ask(shard, id -> new PeerRequest.LookUp(id, turn), deadline)
                 .thenApply(HistoryClient::lookup);
     }
 
+    /** A program may continue from a turn of another one, whose shard is not known. */
+    private CompletableFuture<Lookup> lookUpElsewhere(ProgramId program, CallId turn, long endsAt) {
+        Layout layout = layouts.current().get().layout();
+        Duration left = Duration.ofNanos(Math.max(0, endsAt - scheduler.nanoTime()));
+        CompletableFuture<Lookup> found = new CompletableFuture<>();
+        CompletableFuture<Lookup> all = CompletableFuture.completedFuture(new Lookup.Absent());
+        for (ShardId shard : layout.views().map(View::shard)) {
+            if (shard.equals(layout.shardOf(program))) {
+                continue;
+            }
+            CompletableFuture<Lookup> one = lookUpIn(unused -> shard, turn, left);
+            one.thenAccept(result -> completeIfFound(found, result));
+            all = all.thenCombine(one, HistoryClient::either);
+        }
+        all.thenAccept(found::complete);
+        return found;
+    }
+
+    private static void completeIfFound(CompletableFuture<Lookup> found, Lookup result) {
+        if (result instanceof Lookup.Found) {
+            found.complete(result);
+        }
+    }
+
+    /** A turn is absent only where no shard has it. */
+    private static Lookup either(Lookup first, Lookup second) {
+        return switch (first) {
+            case Lookup.Found _ -> first;
+            case Lookup.Absent() -> second;
+            case Lookup.Unavailable _ -> second instanceof Lookup.Found ? second : first;
+        };
+    }
+
     private static Lookup lookup(PeerReply reply) {
         return switch (reply) {
             case PeerReply.Found(byte[] text) -> new Lookup.Found(text);
@@ -145,9 +186,9 @@
 
     @Override
     public CompletableFuture<Boolean> store(
-            CallId turn, byte[] text, Duration retention, Duration deadline) {
+            ProgramId program, CallId turn, byte[] text, Duration retention, Duration deadline) {
         return ask(
-                        layout -> layout.shardOf(turn),
+                        layout -> layout.shardOf(program),
                         shard -> new PeerRequest.Store(shard, turn, text, retention),
                         deadline)
                 .thenApply(reply -> reply instanceof PeerReply.Done);
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/Layout.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/Layout.java
@@ -1,7 +1,6 @@
 package org.tamarackfold.peer;
 
 import io.vavr.collection.Vector;
-import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ShardId;
 
@@ -16,18 +15,12 @@
         return views.get(shard.value());
     }
 
-    /** Returns the shard that holds the budget of a program. */
+    /**
+     * Returns the shard that holds the budget and the turns of a program, so that a program depends
+     * on the members of one shard only.
+     */
     public ShardId shardOf(ProgramId program) {
-        return shardOfHash(program.value().hashCode());
-    }
-
-    /** Returns the shard that holds the history of a turn. */
-    public ShardId shardOf(CallId turn) {
-        return shardOfHash(turn.value().hashCode());
-    }
-
-    private ShardId shardOfHash(int hash) {
-        int spread = hash * 0x9E3779B9;
+        int spread = program.value().hashCode() * 0x9E3779B9;
         return new ShardId(Math.floorMod(spread >>> 8, views.size()));
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
@@ -58,14 +58,25 @@
     /** Replaces a reservation by the tokens that reached the caller; retried in the background. */
     void settle(ProgramId program, CallId call, long tokens);
 
-    /** Reads the history up to and including a turn. */
-    CompletableFuture<Lookup> lookUp(CallId turn, Duration deadline);
+    /**
+     * Reads the history up to and including a turn.
+     *
+     * @param program the program that continues from the turn, mostly the one that made it
+     * @param turn the turn
+     * @param deadline when the answer is of no more use
+     */
+    CompletableFuture<Lookup> lookUp(ProgramId program, CallId turn, Duration deadline);
 
     /**
      * Stores the history of a finished turn durably.
      *
+     * @param program the program that made the turn
+     * @param turn the turn
+     * @param text the inputs and outputs of the turn and all turns before it
+     * @param retention how long it is kept
+     * @param deadline when the answer is of no more use
      * @return whether it is stored on as many disks as the tolerated losses require
      */
     CompletableFuture<Boolean> store(
-            CallId turn, byte[] text, Duration retention, Duration deadline);
+            ProgramId program, CallId turn, byte[] text, Duration retention, Duration deadline);
 }
