Spread primaries again and publish prepared views a second time

Change: a primary with two shards more than a member gives that member the primary's part. After a conflict the views whose shards have not changed are published again on the latest layout. At most four changes of a round are such that no loss requires.

Test: primariesAreSpreadAgainAfterLosses; without the balance one host is the primary of 14 of 16 shards there.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -181,6 +181,28 @@
             assertEquals(promises.lostTurns(), List.of());
         }
 
+        /**
+         * Guards against hosts that are the primary of most shards after others were lost, so that
+         * their own loss stops nearly all programs.
+         */
+        @Test
+        public void primariesAreSpreadAgainAfterLosses() {
+            StorageCluster cluster = StorageCluster.formed(4, 1, 24);
+            for (int victim = 0; victim < 3; victim++) {
+                cluster.hosts.get(victim).wipe();
+                cluster.run(700);
+                cluster.hosts.get(victim).start();
+                cluster.run(5_000);
+            }
+            Layout layout = cluster.layout();
+            int most =
+                    StorageCluster.membersOf(layout)
+                            .map(m -> layout.views().count(v -> v.primary().equals(m)))
+                            .max()
+                            .get();
+            assertTrue(most <= 7, "one host is the primary of " + most + " shards");
+        }
+
         /** Guards against a primary that confirms alone while it is cut off from the others. */
         @Test
         public void hostThatIsCutOffConfirmsNothing() {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -198,20 +198,39 @@
         if (views.isEmpty()) {
             return CompletableFuture.completedFuture(false);
         }
-        return swap(stored.revision(), stored.layout().with(views))
+        return replace(stored, views)
                 .thenApply(
-                        decided -> {
-                            if (decided) {
-                                views.forEach(view -> giveUp(view.shard()));
-                                changes.reject(LayoutPlanner.Change::keepsAllMembers)
-                                        .map(LayoutPlanner.Change::next)
-                                        .filter(views::contains)
-                                        .forEach(shards::established);
-                            }
-                            return decided;
+                        unused -> {
+                            views.forEach(view -> giveUp(view.shard()));
+                            changes.reject(LayoutPlanner.Change::hasSameMembers)
+                                    .map(LayoutPlanner.Change::next)
+                                    .filter(views::contains)
+                                    .forEach(shards::established);
+                            return true;
                         });
     }
 
+    /**
+     * Puts views in force, again on the latest layout where another host has changed other shards
+     * meanwhile: what was prepared holds for as long as the epoch of the shard stays the same.
+     */
+    private CompletableFuture<Void> replace(LayoutBook.Stored stored, Vector<View> views) {
+        return swap(stored.revision(), stored.layout().with(views))
+                .thenCompose(
+                        unused -> {
+                            LayoutBook.Stored latest = layouts.current().get();
+                            Vector<View> open =
+                                    views.filter(view -> follows(latest.layout(), view));
+                            return open.isEmpty()
+                                    ? CompletableFuture.completedFuture(null)
+                                    : replace(latest, open);
+                        });
+    }
+
+    private static boolean follows(Layout layout, View next) {
+        return layout.view(next.shard()).epoch().next().equals(next.epoch());
+    }
+
     /** Ends a change; where the new view is in force, the shard table has dropped these marks. */
     private void giveUp(ShardId shard) {
         shards.stopJoining(shard);
@@ -219,16 +238,15 @@
     }
 
     /**
-     * Replaces the layout. The future completes once it is certain whether the change was made or
-     * can no longer be made: a write without answer may still take effect seconds later, so it is
-     * repeated until the service answers.
+     * Replaces the layout. The future completes once the change was made or can no longer be made,
+     * with the latest layout in the book: a write without answer may still take effect seconds
+     * later, so it is repeated until the service answers.
      */
-    private CompletableFuture<Boolean> swap(long expectedRevision, Layout layout) {
+    private CompletableFuture<Void> swap(long expectedRevision, Layout layout) {
         return swap(expectedRevision, layout, INTERVAL.toMillis());
     }
 
-    private CompletableFuture<Boolean> swap(
-            long expectedRevision, Layout layout, long retryMillis) {
+    private CompletableFuture<Void> swap(long expectedRevision, Layout layout, long retryMillis) {
         return service.write(
                         Vector.of(
                                 new KeyValueService.Expectation(
@@ -240,7 +258,7 @@
                 .thenCompose(result -> swapped(expectedRevision, layout, retryMillis, result));
     }
 
-    private CompletableFuture<Boolean> swapped(
+    private CompletableFuture<Void> swapped(
             long expectedRevision,
             Layout layout,
             long retryMillis,
@@ -257,12 +275,12 @@
                 .info();
         if (result.get() instanceof KeyValueService.WriteResult.Written(long revision)) {
             layoutRead(new KeyValueService.Item(SharedKeys.LAYOUT, codec.encode(layout), revision));
-            return CompletableFuture.completedFuture(true);
+            return CompletableFuture.completedFuture(null);
         }
         return readBack();
     }
 
-    private CompletableFuture<Boolean> readBack() {
+    private CompletableFuture<Void> readBack() {
         return service.read(SharedKeys.LAYOUT)
                 .thenCompose(
                         result -> {
@@ -270,13 +288,12 @@
                                 return later(LONGEST_RETRY_MILLIS, this::readBack);
                             }
                             layoutRead(result.get().get());
-                            return CompletableFuture.completedFuture(true);
+                            return CompletableFuture.completedFuture(null);
                         });
     }
 
-    private CompletableFuture<Boolean> later(
-            long millis, Supplier<CompletableFuture<Boolean>> step) {
-        CompletableFuture<Boolean> done = new CompletableFuture<>();
+    private CompletableFuture<Void> later(long millis, Supplier<CompletableFuture<Void>> step) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
         scheduler.after(Duration.ofMillis(millis), () -> step.get().thenAccept(done::complete));
         return done;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.peer;
 
-import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
@@ -17,6 +16,15 @@
      */
     private static final int SPARE_MEMBERS = 1;
 
+    /**
+     * Changes of one round that no loss requires. The records of a shard take some ten ms of
+     * processor time, which a host that has just started needs for calls.
+     */
+    private static final int LEISURELY_CHANGES = 4;
+
+    /** Difference in the number of shards from which a host gives the primary's part away. */
+    private static final int PRIMARY_IMBALANCE = 2;
+
     private final int copies;
 
     /**
@@ -43,9 +51,14 @@
      */
     public record Change(
             View current, Vector<Member> kept, Vector<Member> joiners, Vector<Member> sources) {
-        /** Tells whether the members stay the same, so that only the epoch changes. */
+        /** Tells whether every member of the present view is one of the next. */
         public boolean keepsAllMembers() {
-            return joiners.isEmpty() && kept.equals(current.members());
+            return kept.size() == current.members().size();
+        }
+
+        /** Tells whether the next view has the same members, in the same order or another one. */
+        public boolean hasSameMembers() {
+            return joiners.isEmpty() && keepsAllMembers();
         }
 
         /** Returns the view that follows. */
@@ -130,27 +143,25 @@
      * @param beliefs what the deciding host believes of the others
      */
     public Vector<Change> changes(Layout layout, StoreId own, Set<Member> hosts, Beliefs beliefs) {
-        Map<StoreId, Integer> load = load(layout);
+        LayoutLoad load = new LayoutLoad(layout);
         Vector<Change> changes = Vector.empty();
+        int leisurely = 0;
         for (View view : layout.views()) {
             Option<Change> change = change(view, own, hosts, beliefs, load);
             if (change.isEmpty()) {
                 continue;
             }
-            for (Member joiner : change.get().joiners()) {
-                load = load.put(joiner.store(), load.getOrElse(joiner.store(), 0) + 1);
+            if (change.get().keepsAllMembers() && ++leisurely > LEISURELY_CHANGES) {
+                continue;
             }
+            load.add(change.get());
             changes = changes.append(change.get());
         }
         return changes;
     }
 
     private Option<Change> change(
-            View view,
-            StoreId own,
-            Set<Member> hosts,
-            Beliefs beliefs,
-            Map<StoreId, Integer> load) {
+            View view, StoreId own, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
         Vector<Member> alive = view.members().reject(beliefs::isSuspected);
         if (alive.isEmpty() || !alive.head().store().equals(own)) {
             return Option.none();
@@ -164,11 +175,7 @@
 
     /** Replaces members at leisure while the others suffice to confirm records. */
     private Option<Change> repair(
-            View view,
-            Vector<Member> alive,
-            Set<Member> hosts,
-            Beliefs beliefs,
-            Map<StoreId, Integer> load) {
+            View view, Vector<Member> alive, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
         boolean urgent =
                 alive.size() < copies
                         || beliefs.needsNewEpoch(view)
@@ -179,18 +186,24 @@
         Vector<Member> kept = alive.reject(beliefs::isRetiring);
         Vector<Member> joiners = joiners(copies + SPARE_MEMBERS, view, kept, hosts, beliefs, load);
         Change change = new Change(view, kept, joiners, Vector.empty());
-        return change.keepsAllMembers() && !beliefs.needsNewEpoch(view)
-                ? Option.none()
+        return change.hasSameMembers() && !beliefs.needsNewEpoch(view)
+                ? balance(view, load)
                 : Option.some(change);
     }
 
+    /** Makes another member the primary, so that the loss of one host stops few shards. */
+    private static Option<Change> balance(View view, LayoutLoad load) {
+        Member lightest = view.members().minBy(load::primaries).get();
+        if (load.primaries(view.primary()) - load.primaries(lightest) < PRIMARY_IMBALANCE) {
+            return Option.none();
+        }
+        Vector<Member> reordered = view.members().remove(lightest).prepend(lightest);
+        return Option.some(new Change(view, reordered, Vector.empty(), Vector.empty()));
+    }
+
     /** Takes over with the fewest members; the new primary adds the others afterwards. */
     private Option<Change> takeOver(
-            View view,
-            Vector<Member> alive,
-            Set<Member> hosts,
-            Beliefs beliefs,
-            Map<StoreId, Integer> load) {
+            View view, Vector<Member> alive, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
         if (alive.size() <= view.members().size() - copies) {
             // A record may have been confirmed by members none of which is alive.
             return Option.none();
@@ -200,28 +213,20 @@
         return Option.some(new Change(view, kept, joiners, alive.tail()));
     }
 
-    private static Map<StoreId, Integer> load(Layout layout) {
-        Map<StoreId, Integer> load = HashMap.empty();
-        for (Member member : layout.views().flatMap(View::members)) {
-            load = load.put(member.store(), load.getOrElse(member.store(), 0) + 1);
-        }
-        return load;
-    }
-
     private static Vector<Member> joiners(
             int wanted,
             View view,
             Vector<Member> kept,
             Set<Member> hosts,
             Beliefs beliefs,
-            Map<StoreId, Integer> load) {
+            LayoutLoad load) {
         Vector<Member> chosen = Vector.empty();
         Vector<Member> candidates =
                 Vector.ofAll(hosts)
                         .reject(member -> view.contains(member.store()))
                         .reject(beliefs::isRetiring)
                         .reject(beliefs::isSuspected)
-                        .sortBy(member -> load.getOrElse(member.store(), 0));
+                        .sortBy(load::members);
         while (kept.size() + chosen.size() < wanted && candidates.nonEmpty()) {
             Vector<Member> present = kept.appendAll(chosen);
             Member next = inAnotherZone(candidates, present);
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
@@ -29,12 +29,21 @@
 
     /** Completes with whether all members of the next view hold all confirmed records. */
     CompletableFuture<Boolean> prepare(LayoutPlanner.Change change) {
-        if (change.keepsAllMembers()) {
-            return done(true);
+        if (!change.current().primary().store().equals(self.store())) {
+            return takeOver(change);
         }
-        return change.current().primary().store().equals(self.store())
-                ? repair(change)
-                : takeOver(change);
+        return change.hasSameMembers() ? handOver(change) : repair(change);
+    }
+
+    /** Only a new primary has to hold all records: the others held enough of them before. */
+    private CompletableFuture<Boolean> handOver(LayoutPlanner.Change change) {
+        View view = change.current();
+        Vector<Member> successor = others(change.next().members().take(1));
+        shards.startJoining(view.shard(), successor);
+        return copyToAll(
+                view,
+                successor.reject(member -> shards.isComplete(view.shard(), member)),
+                shards.snapshot(view.shard()));
     }
 
     private static CompletableFuture<Boolean> done(boolean value) {
