Log the end of an epoch before a change relies on it

A host that took a shard over had collected the records of a member; the member lost power, forgot that it accepts nothing more of the epoch, and confirmed reservations with the old primary. The change of the view, delayed by an outage of the key-value service, then took effect without them.

Ruled out: publishing a prepared view again (the change was written once), and the part of a new primary being given away.

Change: the end of an epoch on a host is a record of its log. A member logs it before it gives its records, and the deciding host before it writes the layout. After a restart the host takes no part in that epoch, and its primary starts a new one. Compaction keeps the record.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
@@ -41,6 +41,7 @@
     private long nextLease = 1;
     private boolean down;
     private boolean losingAnswers;
+    private Duration writeDelay = Duration.ZERO;
     private long calls;
 
     /** Creates an empty service. */
@@ -63,6 +64,11 @@
         losingAnswers = value;
     }
 
+    /** Makes writes take effect so much later, without an answer; zero ends it. */
+    public void setWriteDelay(Duration value) {
+        writeDelay = value;
+    }
+
     private <T> CompletableFuture<Either<Failure, T>> answer(
             java.util.function.Supplier<Either<Failure, T>> call) {
         calls++;
@@ -199,6 +205,10 @@
             Seq<Expectation> expectations, Seq<Put> puts, Seq<String> removals) {
         return answer(
                 () -> {
+                    if (!writeDelay.isZero()) {
+                        scheduler.after(writeDelay, () -> apply(expectations, puts, removals));
+                        return Either.left(lostAnswer());
+                    }
                     WriteResult result = apply(expectations, puts, removals);
                     return losingAnswers ? Either.left(lostAnswer()) : Either.right(result);
                 });
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationFaultsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationFaultsTest.java
@@ -50,7 +50,9 @@
 
         /**
          * Guards against lost turns and exceeded budgets when hosts are cut off in one direction or
-         * both, the key-value service is down, and disks are lost, at the same time.
+         * both, the key-value service is down or executes writes late, and disks are lost, at the
+         * same time. Seed 5046 exceeded a budget when a member that had given its records to a host
+         * which took over forgot this with a restart.
          */
         @Test(dataProvider = "cutSeeds")
         public void promisesHoldWhileLinksAreCut(long seed) {
@@ -67,6 +69,10 @@
                 StorageCluster.StorageHost victim =
                         cluster.hosts.get(cluster.random.nextInt(cluster.hosts.size()));
                 cluster.keyValue.setDown(cluster.random.nextInt(3) == 0);
+                if (cluster.random.nextInt(3) == 0) {
+                    cluster.keyValue.setWriteDelay(
+                            Duration.ofMillis(1_000 + cluster.random.nextInt(5_000)));
+                }
                 for (int cut = cluster.random.nextInt(5); cut > 0; cut--) {
                     cutRandomLink(cluster);
                 }
@@ -74,6 +80,7 @@
                 fail(victim, cluster.random.nextInt(3));
                 work(cluster, promises, 12);
                 cluster.keyValue.setDown(false);
+                cluster.keyValue.setWriteDelay(Duration.ZERO);
                 if (cluster.random.nextBoolean()) {
                     cluster.network.heal();
                 }
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -38,9 +38,14 @@
   5: required i64 keepUntilMillis
 }
 
+struct EpochEndStruct {
+  1: required i64 epoch
+}
+
 union RecordStruct {
   1: TurnStruct turn
   2: ChargeStruct charge
+  3: EpochEndStruct epochEnd
 }
 
 struct LoggedRecordStruct {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -124,7 +124,7 @@
         for (ShardId shard : shards.shardIds()) {
             all =
                     all.appendAll(
-                            shards.snapshot(shard)
+                            shards.durableRecords(shard)
                                     .map(record -> new RecordCodec.Logged(shard, record)));
         }
         return all;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -64,7 +64,7 @@
             case PeerRequest.Append append ->
                     accept(shards.append(append), append.shard(), append.records());
             case PeerRequest.Copy copy -> accept(shards.copy(copy), copy.shard(), copy.records());
-            case PeerRequest.Collect collect -> done(shards.collect(collect));
+            case PeerRequest.Collect collect -> collect(collect);
             case PeerRequest.Relay _ ->
                     done(new PeerReply.Unavailable("a storage host passes nothing on"));
             case PeerRequest.Reserve reserve ->
@@ -99,6 +99,16 @@
         return log.append(shard, records).thenApply(unused -> new PeerReply.Done());
     }
 
+    /** The end of the epoch must outlast a restart before the sender relies on it. */
+    private CompletableFuture<PeerReply> collect(PeerRequest.Collect request) {
+        PeerReply reply = shards.collect(request);
+        if (!(reply instanceof PeerReply.Collected) || request.batch() > 0) {
+            return done(reply);
+        }
+        return log.append(request.shard(), Vector.of(new StoredRecord.EpochEnd(request.epoch())))
+                .thenApply(unused -> reply);
+    }
+
     private CompletableFuture<PeerReply> execute(ShardId shard, ShardTable.Decision decision) {
         return switch (decision) {
             case ShardTable.Decision.Reply(PeerReply reply) -> done(reply);
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
@@ -18,6 +18,8 @@
             case StoredRecord.Charge charge ->
                     charges.computeIfAbsent(charge.program(), unused -> new HashMap<>())
                             .merge(charge.call(), charge, ShardRecords::decided);
+            case StoredRecord.EpochEnd _ ->
+                    throw new IllegalArgumentException("An epoch is no record of a program");
         }
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -35,8 +35,11 @@
         /** This host is about to take the shard over, unless it gives the change up. */
         private boolean fenced;
 
-        /** Latest epoch under which this host gave its records to a host that takes over. */
-        private Epoch collectedThrough = NO_EPOCH;
+        /** Latest epoch in which this host takes no part any more. */
+        private Epoch endedThrough = NO_EPOCH;
+
+        /** Latest epoch whose end the log holds; in force after a restart. */
+        private Epoch loggedEnd = NO_EPOCH;
 
         private Vector<Vector<StoredRecord>> collected = Vector.empty();
 
@@ -44,6 +47,12 @@
         private Epoch refused = NO_EPOCH;
 
         private Set<Member> joining = HashSet.empty();
+
+        void endEpoch(Epoch epoch) {
+            endedThrough = later(endedThrough, epoch);
+            loggedEnd = later(loggedEnd, epoch);
+            highestSeen = later(highestSeen, epoch);
+        }
     }
 
     /** What a primary has to do for a request. */
@@ -95,7 +104,28 @@
 
     /** Applies a record that the log held at the start of the process. */
     public void restore(ShardId id, StoredRecord record) {
-        lock.run(() -> shard(id).records.apply(record));
+        lock.run(
+                () -> {
+                    if (record instanceof StoredRecord.EpochEnd(Epoch epoch)) {
+                        shard(id).endEpoch(epoch);
+                    } else {
+                        shard(id).records.apply(record);
+                    }
+                });
+    }
+
+    /** Returns the record that ends the epoch of a view on this host, to be logged. */
+    StoredRecord.EpochEnd endOf(View view) {
+        return lock.locked(
+                () -> {
+                    Shard shard = shard(view.shard());
+                    shard.loggedEnd = later(shard.loggedEnd, view.epoch());
+                    return new StoredRecord.EpochEnd(view.epoch());
+                });
+    }
+
+    private static Epoch later(Epoch first, Epoch second) {
+        return first.compareTo(second) >= 0 ? first : second;
     }
 
     /** Takes over the views of a layout. */
@@ -176,7 +206,12 @@
 
     /** Tells whether a view needs a new epoch although its members may stay. */
     boolean needsNewEpoch(View view) {
-        return lock.locked(() -> shard(view.shard()).refused.equals(view.epoch()));
+        return lock.locked(
+                () -> {
+                    Shard shard = shard(view.shard());
+                    return shard.refused.equals(view.epoch())
+                            || shard.endedThrough.compareTo(view.epoch()) >= 0;
+                });
     }
 
     /** Forgets joining hosts after a change of the view was given up. */
@@ -200,7 +235,7 @@
     private boolean isPrimary(Shard shard) {
         return shard.view != null
                 && !shard.fenced
-                && shard.collectedThrough.compareTo(shard.view.epoch()) < 0
+                && shard.endedThrough.compareTo(shard.view.epoch()) < 0
                 && shard.view.primary().store().equals(ownStore)
                 && shard.highestSeen.compareTo(shard.view.epoch()) <= 0;
     }
@@ -296,7 +331,7 @@
                     if (!request.target().equals(ownStore)) {
                         return Option.some(new PeerReply.Unavailable("another store"));
                     }
-                    if (request.epoch().compareTo(shard.collectedThrough) <= 0) {
+                    if (request.epoch().compareTo(shard.endedThrough) <= 0) {
                         return Option.some(new PeerReply.Stale(shard.highestSeen));
                     }
                     if (isMember(shard)) {
@@ -344,8 +379,7 @@
                     if (request.epoch().compareTo(shard.highestSeen) < 0) {
                         return new PeerReply.Stale(shard.highestSeen);
                     }
-                    shard.highestSeen = request.epoch();
-                    shard.collectedThrough = request.epoch();
+                    shard.endEpoch(request.epoch());
                     if (request.batch() == 0) {
                         shard.collected = RecordBatches.of(shard.records.all());
                     }
@@ -357,8 +391,20 @@
                 });
     }
 
-    /** Returns all records of a shard, for a joining host or a compaction of the log. */
-    public Vector<StoredRecord> snapshot(ShardId id) {
+    /** Returns what the log has to keep of a shard. */
+    public Vector<StoredRecord> durableRecords(ShardId id) {
+        return lock.locked(
+                () -> {
+                    Shard shard = shard(id);
+                    Vector<StoredRecord> records = shard.records.all();
+                    return shard.loggedEnd.equals(NO_EPOCH)
+                            ? records
+                            : records.append(new StoredRecord.EpochEnd(shard.loggedEnd));
+                });
+    }
+
+    /** Returns all records of the programs of a shard. */
+    Vector<StoredRecord> snapshot(ShardId id) {
         return lock.locked(() -> shard(id).records.all());
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
@@ -29,6 +29,12 @@
 
     /** Completes with whether all members of the next view hold all confirmed records. */
     CompletableFuture<Boolean> prepare(LayoutPlanner.Change change) {
+        View view = change.current();
+        CompletableFuture<Void> ended = log.append(view.shard(), Vector.of(shards.endOf(view)));
+        return transfer(change).thenCombine(ended, (good, unused) -> good);
+    }
+
+    private CompletableFuture<Boolean> transfer(LayoutPlanner.Change change) {
         if (!change.current().primary().store().equals(self.store())) {
             return takeOver(change);
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.peer;
 
 import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ProgramId;
 
 /** A durable record. Applying it twice, or in another order, gives the same state. */
@@ -13,6 +14,7 @@
         return switch (this) {
             case Turn turn -> turn.call();
             case Charge charge -> charge;
+            case EpochEnd end -> end;
         };
     }
 
@@ -37,4 +39,18 @@
     record Charge(
             ProgramId program, CallId call, long tokens, boolean settled, long keepUntilMillis)
             implements StoredRecord {}
+
+    /**
+     * The end of an epoch on this host, for a change of the view. A host that restarts before the
+     * change is in force must not take part in the epoch again, because the change would miss what
+     * is confirmed then.
+     *
+     * @param epoch the epoch
+     */
+    record EpochEnd(Epoch epoch) implements StoredRecord {
+        @Override
+        public long keepUntilMillis() {
+            return Long.MAX_VALUE;
+        }
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
@@ -2,10 +2,12 @@
 
 import java.nio.ByteBuffer;
 import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.peer.StoredRecord;
 import org.tamarackfold.peer.thrift.generated.ChargeStruct;
+import org.tamarackfold.peer.thrift.generated.EpochEndStruct;
 import org.tamarackfold.peer.thrift.generated.LoggedRecordStruct;
 import org.tamarackfold.peer.thrift.generated.RecordStruct;
 import org.tamarackfold.peer.thrift.generated.TurnStruct;
@@ -52,6 +54,8 @@
                     RecordStruct.charge(
                             new ChargeStruct(
                                     program.value(), call.value(), tokens, settled, keepUntil));
+            case StoredRecord.EpochEnd(Epoch epoch) ->
+                    RecordStruct.epochEnd(new EpochEndStruct(epoch.value()));
         };
     }
 
@@ -61,6 +65,9 @@
             return new StoredRecord.Turn(
                     new CallId(turn.getCall()), turn.getText(), turn.getKeepUntilMillis());
         }
+        if (struct.isSetEpochEnd()) {
+            return new StoredRecord.EpochEnd(new Epoch(struct.getEpochEnd().getEpoch()));
+        }
         ChargeStruct charge = struct.getCharge();
         return new StoredRecord.Charge(
                 new ProgramId(charge.getProgram()),
