--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -3,12 +3,9 @@
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
-import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
-import org.tamarackfold.errors.Failure;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.log.StructuredLog;
@@ -31,11 +28,7 @@
     /** Age of the process before it writes the first layout, so that most hosts are registered. */
     private static final Duration FIRST_LAYOUT_AGE = Duration.ofMillis(1_500);
 
-    /** Longest pause before an unanswered write is repeated; every call to the service counts. */
-    private static final long LONGEST_RETRY_MILLIS = 800;
-
     private final Member self;
-    private final KeyValueService service;
     private final SharedStateCodec codec;
     private final LayoutBook layouts;
     private final MemberTable members;
@@ -43,13 +36,13 @@
     private final ShardTable shards;
     private final LayoutPlanner planner;
     private final ShardTransfer transfer;
+    private final LayoutWriter writer;
     private final Scheduler scheduler;
     private final long startedAt;
     private boolean busy;
 
     private LayoutManager(Builder builder) {
         this.self = builder.self;
-        this.service = builder.service;
         this.codec = builder.codec;
         this.layouts = builder.layouts;
         this.members = builder.members;
@@ -59,6 +52,8 @@
         this.transfer =
                 new ShardTransfer(builder.self, builder.shards, builder.log, builder.channel);
         this.scheduler = builder.scheduler;
+        this.writer =
+                new LayoutWriter(builder.service, codec, layouts, scheduler, this::layoutRead);
         this.startedAt = scheduler.nanoTime();
     }
 
@@ -160,7 +155,7 @@
         Option<Layout> first = planner.initial(members.storageHosts(), SHARDS);
         if (first.isDefined()) {
             busy = true;
-            swap(0, first.get()).thenAccept(unused -> busy = false);
+            writer.writeFirst(first.get()).thenAccept(unused -> busy = false);
         }
     }
 
@@ -198,7 +193,7 @@
         if (views.isEmpty()) {
             return CompletableFuture.completedFuture(false);
         }
-        return replace(stored, views)
+        return writer.publish(stored, views)
                 .thenApply(
                         unused -> {
                             views.forEach(view -> giveUp(view.shard()));
@@ -210,94 +205,12 @@
                         });
     }
 
-    /**
-     * Puts views in force, again on the latest layout where another host has changed other shards
-     * meanwhile: what was prepared holds for as long as the epoch of the shard stays the same.
-     */
-    private CompletableFuture<Void> replace(LayoutBook.Stored stored, Vector<View> views) {
-        return swap(stored.revision(), stored.layout().with(views))
-                .thenCompose(
-                        unused -> {
-                            LayoutBook.Stored latest = layouts.current().get();
-                            Vector<View> open =
-                                    views.filter(view -> follows(latest.layout(), view));
-                            return open.isEmpty()
-                                    ? CompletableFuture.completedFuture(null)
-                                    : replace(latest, open);
-                        });
-    }
-
-    private static boolean follows(Layout layout, View next) {
-        return layout.view(next.shard()).epoch().next().equals(next.epoch());
-    }
-
     /** Ends a change; where the new view is in force, the shard table has dropped these marks. */
     private void giveUp(ShardId shard) {
         shards.stopJoining(shard);
         shards.unfence(shard);
     }
 
-    /**
-     * Replaces the layout. The future completes once the change was made or can no longer be made,
-     * with the latest layout in the book: a write without answer may still take effect seconds
-     * later, so it is repeated until the service answers.
-     */
-    private CompletableFuture<Void> swap(long expectedRevision, Layout layout) {
-        return swap(expectedRevision, layout, INTERVAL.toMillis());
-    }
-
-    private CompletableFuture<Void> swap(long expectedRevision, Layout layout, long retryMillis) {
-        return service.write(
-                        Vector.of(
-                                new KeyValueService.Expectation(
-                                        SharedKeys.LAYOUT, expectedRevision)),
-                        Vector.of(
-                                new KeyValueService.Put(
-                                        SharedKeys.LAYOUT, codec.encode(layout), 0)),
-                        Vector.empty())
-                .thenCompose(result -> swapped(expectedRevision, layout, retryMillis, result));
-    }
-
-    private CompletableFuture<Void> swapped(
-            long expectedRevision,
-            Layout layout,
-            long retryMillis,
-            Either<Failure, KeyValueService.WriteResult> result) {
-        if (result.isLeft()) {
-            LOG.event("layout_write_unanswered").with("reason", result.getLeft()).warn();
-            long next = Math.min(retryMillis * 2, LONGEST_RETRY_MILLIS);
-            return later(retryMillis, () -> swap(expectedRevision, layout, next));
-        }
-        boolean written = result.get() instanceof KeyValueService.WriteResult.Written;
-        LOG.event("layout_write")
-                .with("expected_revision", expectedRevision)
-                .with("written", written)
-                .info();
-        if (result.get() instanceof KeyValueService.WriteResult.Written(long revision)) {
-            layoutRead(new KeyValueService.Item(SharedKeys.LAYOUT, codec.encode(layout), revision));
-            return CompletableFuture.completedFuture(null);
-        }
-        return readBack();
-    }
-
-    private CompletableFuture<Void> readBack() {
-        return service.read(SharedKeys.LAYOUT)
-                .thenCompose(
-                        result -> {
-                            if (result.isLeft() || result.get().isEmpty()) {
-                                return later(LONGEST_RETRY_MILLIS, this::readBack);
-                            }
-                            layoutRead(result.get().get());
-                            return CompletableFuture.completedFuture(null);
-                        });
-    }
-
-    private CompletableFuture<Void> later(long millis, Supplier<CompletableFuture<Void>> step) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        scheduler.after(Duration.ofMillis(millis), () -> step.get().thenAccept(done::complete));
-        return done;
-    }
-
     /** Builds a manager. */
     public static final class Builder {
         private Member self;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -41,6 +41,7 @@
         /** Latest epoch whose end the log holds; in force after a restart. */
         private Epoch loggedEnd = NO_EPOCH;
 
+        /** What a host that takes over is reading, in batches. */
         private Vector<Vector<StoredRecord>> collected = Vector.empty();
 
         /** Latest epoch of which a member accepts no more records. */
@@ -65,7 +66,7 @@
         record Reply(PeerReply reply) implements Decision {}
 
         /**
-         * Copy records to all members, then reply.
+         * Copy records to enough members, then reply.
          *
          * @param records the records; none when only the view has to be confirmed
          * @param reply the reply
@@ -141,6 +142,7 @@
         shard.view = view;
         shard.fenced = false;
         shard.joining = HashSet.empty();
+        shard.collected = Vector.empty();
         // A member that holds a record without its primary holds one that was never confirmed.
         Set<Member> complete =
                 shard.records.size() == 0 ? HashSet.ofAll(view.members()) : HashSet.empty();
