--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
@@ -21,6 +21,8 @@
     private final Map<Address, PeerService> hosts = new HashMap<>();
     private final Set<Link> cuts = new HashSet<>();
     private double lossShare;
+    private Set<Integer> lostMessages = Set.of();
+    private int messages;
 
     private record Link(Address from, Address target) {}
 
@@ -55,6 +57,16 @@
         lossShare = share;
     }
 
+    /**
+     * Loses some messages and replies.
+     *
+     * @param indexes which ones, counted from now on and without pings
+     */
+    public void loseMessages(Integer... indexes) {
+        lostMessages = Set.of(indexes);
+        messages = 0;
+    }
+
     /** Returns the channel of a host. */
     public PeerChannel channelOf(Address own) {
         return (address, request, timeout) -> send(own, address, request, timeout);
@@ -64,7 +76,7 @@
             Address from, Address target, PeerRequest request, Duration timeout) {
         CompletableFuture<PeerReply> reply = new CompletableFuture<>();
         scheduler.after(timeout, () -> reply.complete(new PeerReply.Unreachable("timed out")));
-        if (!isLost(from, target)) {
+        if (!isLost(from, target, request)) {
             scheduler.after(delay(), () -> deliver(from, target, request, reply));
         }
         return reply;
@@ -80,13 +92,16 @@
         host.handle(request)
                 .thenAccept(
                         result -> {
-                            if (hosts.get(target) == host && !isLost(target, from)) {
+                            if (hosts.get(target) == host && !isLost(target, from, request)) {
                                 scheduler.after(delay(), () -> reply.complete(result));
                             }
                         });
     }
 
-    private boolean isLost(Address from, Address target) {
+    private boolean isLost(Address from, Address target, PeerRequest request) {
+        if (!(request instanceof PeerRequest.Ping) && lostMessages.contains(messages++)) {
+            return true;
+        }
         return cuts.contains(new Link(from, target)) || random.nextDouble() < lossShare;
     }
 
