Decode the layout in one place

Cause: three listeners decoded the stored layout by themselves, two of them beside a listener that decodes everything else and logs what is malformed. After a write the layout was encoded a second time only to be decoded again, and a malformed layout read back after a conflict would have been written over at once, again and again.

Change: SharedStateListener passes on the decoded layout, LayoutBook.Stored decodes an item, and LayoutWriter passes on what it has written. A malformed layout is read again after a pause, like an answer that is missing. No other change of behaviour.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.HostId;
@@ -50,7 +51,7 @@
                                 scheduler,
                                 random),
                         scheduler);
-        follow(entryMembers, this::readLayout, "none", () -> {}, scheduler);
+        follow(entryMembers, entryLayouts::offer, "none", () -> {}, scheduler);
         for (int index = 0; index < size; index++) {
             StorageHost host = new StorageHost(index);
             hosts.add(host);
@@ -87,14 +88,9 @@
         return hosts.stream().filter(h -> h.member.host().equals(member.host())).findFirst().get();
     }
 
-    private void readLayout(org.tamarackfold.keyvalue.KeyValueService.Item item) {
-        entryLayouts.offer(
-                new LayoutBook.Stored(codec.decodeLayout(item.value()), item.revision()));
-    }
-
     private void follow(
             MemberTable members,
-            java.util.function.Consumer<org.tamarackfold.keyvalue.KeyValueService.Item> onLayout,
+            Consumer<LayoutBook.Stored> onLayout,
             String ownKey,
             Runnable onRemoved,
             Scheduler timers) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -8,7 +8,6 @@
 import org.tamarackfold.caller.http.CallHandler;
 import org.tamarackfold.endpoint.EndpointRegistry;
 import org.tamarackfold.endpoint.EndpointTable;
-import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.log.StructuredLog;
@@ -136,13 +135,9 @@
                         .add(SharedKeys.ROOT, sharedState));
     }
 
-    private void layoutRead(KeyValueService.Item item) {
-        boolean later =
-                parts.layouts()
-                        .offer(
-                                new LayoutBook.Stored(
-                                        parts.codec().decodeLayout(item.value()), item.revision()));
-        LOG.event("layout").with("revision", item.revision()).with("adopted", later).info();
+    private void layoutRead(LayoutBook.Stored stored) {
+        boolean later = parts.layouts().offer(stored);
+        LOG.event("layout").with("revision", stored.revision()).with("adopted", later).info();
     }
 
     private boolean isReady() {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -7,10 +7,10 @@
 import java.time.InstantSource;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.id.ShardId;
-import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.peer.LayoutBook;
 import org.tamarackfold.peer.LayoutManager;
 import org.tamarackfold.peer.LayoutPlanner;
 import org.tamarackfold.peer.Member;
@@ -148,8 +148,8 @@
         parts.scheduler().after(EXPIRY_INTERVAL, this::expire);
     }
 
-    private void layoutRead(KeyValueService.Item item) {
-        manager.layoutRead(item);
+    private void layoutRead(LayoutBook.Stored stored) {
+        manager.layoutRead(stored);
         retirement.layoutChanged();
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutBook.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutBook.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.peer;
 
 import io.vavr.control.Option;
+import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.table.LockRank;
 import org.tamarackfold.table.TableLock;
 
@@ -12,7 +13,16 @@
      * @param layout the layout
      * @param revision the revision of the key-value service under which it was written
      */
-    public record Stored(Layout layout, long revision) {}
+    public record Stored(Layout layout, long revision) {
+        /**
+         * Decodes the item that holds the layout.
+         *
+         * @throws IllegalArgumentException when it is malformed
+         */
+        static Stored decode(KeyValueService.Item item, SharedStateCodec codec) {
+            return new Stored(codec.decodeLayout(item.value()), item.revision());
+        }
+    }
 
     private final TableLock lock = new TableLock(LockRank.LAYOUT);
     private Stored current;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -29,7 +29,6 @@
     private static final Duration FIRST_LAYOUT_AGE = Duration.ofMillis(1_500);
 
     private final Member self;
-    private final SharedStateCodec codec;
     private final LayoutBook layouts;
     private final MemberTable members;
     private final PeerMonitor monitor;
@@ -43,7 +42,6 @@
 
     private LayoutManager(Builder builder) {
         this.self = builder.self;
-        this.codec = builder.codec;
         this.layouts = builder.layouts;
         this.members = builder.members;
         this.monitor = builder.monitor;
@@ -53,7 +51,8 @@
                 new ShardTransfer(builder.self, builder.shards, builder.log, builder.channel);
         this.scheduler = builder.scheduler;
         this.writer =
-                new LayoutWriter(builder.service, codec, layouts, scheduler, this::layoutRead);
+                new LayoutWriter(
+                        builder.service, builder.codec, layouts, scheduler, this::layoutRead);
         this.startedAt = scheduler.nanoTime();
     }
 
@@ -68,20 +67,14 @@
     }
 
     /** Takes over a layout that was read from the key-value service. */
-    public void layoutRead(KeyValueService.Item item) {
-        Layout layout;
-        try {
-            layout = codec.decodeLayout(item.value());
-        } catch (IllegalArgumentException e) {
-            LOG.event("layout_malformed").with("revision", item.revision()).warn();
-            return;
-        }
-        if (!layouts.offer(new LayoutBook.Stored(layout, item.revision()))) {
+    public void layoutRead(LayoutBook.Stored stored) {
+        if (!layouts.offer(stored)) {
             return;
         }
+        Layout layout = stored.layout();
         shards.adopt(layout);
         LOG.event("layout_adopted")
-                .with("revision", item.revision())
+                .with("revision", stored.revision())
                 .with("primary_of", layout.views().count(v -> isPrimary(v)))
                 .with("member_of", layout.views().count(v -> v.contains(self.store())))
                 .info();
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutWriter.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutWriter.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -25,24 +26,24 @@
     private final SharedStateCodec codec;
     private final LayoutBook layouts;
     private final Scheduler scheduler;
-    private final Consumer<KeyValueService.Item> onRead;
+    private final Consumer<LayoutBook.Stored> onStored;
 
     /**
      * Creates a writer.
      *
-     * @param onRead takes over a layout that was written or read; it must offer it to the book
+     * @param onStored takes over a layout that was written or read; it must offer it to the book
      */
     LayoutWriter(
             KeyValueService service,
             SharedStateCodec codec,
             LayoutBook layouts,
             Scheduler scheduler,
-            Consumer<KeyValueService.Item> onRead) {
+            Consumer<LayoutBook.Stored> onStored) {
         this.service = service;
         this.codec = codec;
         this.layouts = layouts;
         this.scheduler = scheduler;
-        this.onRead = onRead;
+        this.onStored = onStored;
     }
 
     /** Writes the layout of a new fleet, unless another host has written one. */
@@ -108,8 +109,7 @@
                 .with("written", written)
                 .info();
         if (result.get() instanceof KeyValueService.WriteResult.Written(long revision)) {
-            onRead.accept(
-                    new KeyValueService.Item(SharedKeys.LAYOUT, codec.encode(layout), revision));
+            onStored.accept(new LayoutBook.Stored(layout, revision));
             return CompletableFuture.completedFuture(null);
         }
         return readBack();
@@ -119,14 +119,28 @@
         return service.read(SharedKeys.LAYOUT)
                 .thenCompose(
                         result -> {
-                            if (result.isLeft() || result.get().isEmpty()) {
+                            Option<LayoutBook.Stored> stored =
+                                    result.getOrElse(Option.none()).flatMap(this::decode);
+                            if (stored.isEmpty()) {
                                 return later(LONGEST_RETRY_MILLIS, this::readBack);
                             }
-                            onRead.accept(result.get().get());
+                            onStored.accept(stored.get());
                             return CompletableFuture.completedFuture(null);
                         });
     }
 
+    private Option<LayoutBook.Stored> decode(KeyValueService.Item item) {
+        try {
+            return Option.some(LayoutBook.Stored.decode(item, codec));
+        } catch (IllegalArgumentException e) {
+            LOG.event("layout_malformed")
+                    .with("revision", item.revision())
+                    .with("reason", e.getMessage())
+                    .warn();
+            return Option.none();
+        }
+    }
+
     private CompletableFuture<Void> later(long millis, Supplier<CompletableFuture<Void>> step) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         scheduler.after(Duration.ofMillis(millis), () -> step.get().thenAccept(done::complete));
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/SharedStateListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/SharedStateListener.java
@@ -12,7 +12,7 @@
 
     private final MemberTable members;
     private final SharedStateCodec codec;
-    private final Consumer<KeyValueService.Item> onLayout;
+    private final Consumer<LayoutBook.Stored> onLayout;
     private final String ownKey;
     private final Runnable onOwnKeyRemoved;
 
@@ -28,7 +28,7 @@
     public SharedStateListener(
             MemberTable members,
             SharedStateCodec codec,
-            Consumer<KeyValueService.Item> onLayout,
+            Consumer<LayoutBook.Stored> onLayout,
             String ownKey,
             Runnable onOwnKeyRemoved) {
         this.members = members;
@@ -64,7 +64,7 @@
     private void apply(KeyValueService.Item item) {
         try {
             if (item.key().equals(SharedKeys.LAYOUT)) {
-                onLayout.accept(item);
+                onLayout.accept(LayoutBook.Stored.decode(item, codec));
             } else if (item.key().startsWith(SharedKeys.STORAGE_HOSTS)) {
                 members.put(item.key(), codec.decodeMember(item.value()));
             } else if (item.key().startsWith(SharedKeys.ENTRY_HOSTS)) {
