--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -75,15 +75,11 @@
         shards.adopt(layout);
         LOG.event("layout_adopted")
                 .with("revision", stored.revision())
-                .with("primary_of", layout.views().count(v -> isPrimary(v)))
+                .with("primary_of", layout.views().count(v -> v.hasPrimary(self.store())))
                 .with("member_of", layout.views().count(v -> v.contains(self.store())))
                 .info();
     }
 
-    private boolean isPrimary(View view) {
-        return view.primary().store().equals(self.store());
-    }
-
     private void check() {
         scheduler.after(INTERVAL, this::check);
         act();
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutPlanner.java
@@ -86,13 +86,21 @@
                         .map(i -> ordered.get(Math.floorMod(index + i * stride, ordered.size())))
                         .appendAll(ordered)
                         .distinct();
-        Vector<Member> members = Vector.empty();
-        while (members.size() < Math.min(copies + SPARE_MEMBERS, ordered.size())) {
-            Member next = inAnotherZone(rotated, members);
+        Vector<Member> members = fill(Vector.empty(), rotated, copies + SPARE_MEMBERS);
+        return new View(new ShardId(index), new Epoch(1), members);
+    }
+
+    /** Adds candidates to the present members up to a size, from other zones where possible. */
+    private static Vector<Member> fill(
+            Vector<Member> present, Vector<Member> candidates, int size) {
+        Vector<Member> members = present;
+        Vector<Member> left = candidates;
+        while (members.size() < size && left.nonEmpty()) {
+            Member next = inAnotherZone(left, members);
             members = members.append(next);
-            rotated = rotated.remove(next);
+            left = left.remove(next);
         }
-        return new View(new ShardId(index), new Epoch(1), members);
+        return members;
     }
 
     /** Returns the first candidate outside of the zones in use, or else the first one. */
@@ -144,10 +152,11 @@
      */
     public Vector<Change> changes(Layout layout, StoreId own, Set<Member> hosts, Beliefs beliefs) {
         LayoutLoad load = new LayoutLoad(layout);
+        Round round = new Round(own, hosts, beliefs, load);
         Vector<Change> changes = Vector.empty();
         int leisurely = 0;
         for (View view : layout.views()) {
-            Option<Change> change = change(view, own, hosts, beliefs, load);
+            Option<Change> change = round.change(view);
             if (change.isEmpty()) {
                 continue;
             }
@@ -160,79 +169,76 @@
         return changes;
     }
 
-    private Option<Change> change(
-            View view, StoreId own, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
-        Vector<Member> alive = view.members().reject(beliefs::isSuspected);
-        if (alive.isEmpty() || !alive.head().store().equals(own)) {
-            return Option.none();
+    /** What all decisions of one check start from. */
+    private final class Round {
+        private final StoreId own;
+        private final Set<Member> hosts;
+        private final Beliefs beliefs;
+        private final LayoutLoad load;
+
+        Round(StoreId own, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
+            this.own = own;
+            this.hosts = hosts;
+            this.beliefs = beliefs;
+            this.load = load;
         }
-        Option<Change> change =
-                view.primary().store().equals(own)
-                        ? repair(view, alive, hosts, beliefs, load)
-                        : takeOver(view, alive, hosts, beliefs, load);
-        return change.filter(c -> c.next().members().size() >= copies);
-    }
 
-    /** Replaces members at leisure while the others suffice to confirm records. */
-    private Option<Change> repair(
-            View view, Vector<Member> alive, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
-        boolean urgent =
-                alive.size() < copies
-                        || beliefs.needsNewEpoch(view)
-                        || view.members().exists(m -> beliefs.isGone(m) || beliefs.isRetiring(m));
-        if (!urgent && alive.size() < view.members().size()) {
-            return Option.none();
+        Option<Change> change(View view) {
+            Vector<Member> alive = view.members().reject(beliefs::isSuspected);
+            if (alive.isEmpty() || !alive.head().store().equals(own)) {
+                return Option.none();
+            }
+            Option<Change> change =
+                    view.hasPrimary(own) ? repair(view, alive) : takeOver(view, alive);
+            return change.filter(c -> c.next().members().size() >= copies);
         }
-        Vector<Member> kept = alive.reject(beliefs::isRetiring);
-        Vector<Member> joiners = joiners(copies + SPARE_MEMBERS, view, kept, hosts, beliefs, load);
-        Change change = new Change(view, kept, joiners, Vector.empty());
-        return change.hasSameMembers() && !beliefs.needsNewEpoch(view)
-                ? balance(view, load)
-                : Option.some(change);
-    }
 
-    /** Makes another member the primary, so that the loss of one host stops few shards. */
-    private static Option<Change> balance(View view, LayoutLoad load) {
-        Member lightest = view.members().minBy(load::primaries).get();
-        if (load.primaries(view.primary()) - load.primaries(lightest) < PRIMARY_IMBALANCE) {
-            return Option.none();
+        /** Replaces members at leisure while the others suffice to confirm records. */
+        private Option<Change> repair(View view, Vector<Member> alive) {
+            boolean urgent =
+                    alive.size() < copies
+                            || beliefs.needsNewEpoch(view)
+                            || view.members()
+                                    .exists(m -> beliefs.isGone(m) || beliefs.isRetiring(m));
+            if (!urgent && alive.size() < view.members().size()) {
+                return Option.none();
+            }
+            Change change = refilled(view, alive, copies + SPARE_MEMBERS, Vector.empty());
+            return change.hasSameMembers() && !beliefs.needsNewEpoch(view)
+                    ? balance(view)
+                    : Option.some(change);
         }
-        Vector<Member> reordered = view.members().remove(lightest).prepend(lightest);
-        return Option.some(new Change(view, reordered, Vector.empty(), Vector.empty()));
-    }
 
-    /** Takes over with the fewest members; the new primary adds the others afterwards. */
-    private Option<Change> takeOver(
-            View view, Vector<Member> alive, Set<Member> hosts, Beliefs beliefs, LayoutLoad load) {
-        if (alive.size() <= view.members().size() - copies) {
-            // A record may have been confirmed by members none of which is alive.
-            return Option.none();
+        /** Makes another member the primary, so that the loss of one host stops few shards. */
+        private Option<Change> balance(View view) {
+            Member lightest = view.members().minBy(load::primaries).get();
+            if (load.primaries(view.primary()) - load.primaries(lightest) < PRIMARY_IMBALANCE) {
+                return Option.none();
+            }
+            Vector<Member> reordered = view.members().remove(lightest).prepend(lightest);
+            return Option.some(new Change(view, reordered, Vector.empty(), Vector.empty()));
+        }
+
+        /** Takes over with the fewest members; the new primary adds the others afterwards. */
+        private Option<Change> takeOver(View view, Vector<Member> alive) {
+            if (alive.size() <= view.members().size() - copies) {
+                // A record may have been confirmed by members none of which is alive.
+                return Option.none();
+            }
+            return Option.some(refilled(view, alive, copies, alive.tail()));
         }
-        Vector<Member> kept = alive.reject(beliefs::isRetiring);
-        Vector<Member> joiners = joiners(copies, view, kept, hosts, beliefs, load);
-        return Option.some(new Change(view, kept, joiners, alive.tail()));
-    }
 
-    private static Vector<Member> joiners(
-            int wanted,
-            View view,
-            Vector<Member> kept,
-            Set<Member> hosts,
-            Beliefs beliefs,
-            LayoutLoad load) {
-        Vector<Member> chosen = Vector.empty();
-        Vector<Member> candidates =
-                Vector.ofAll(hosts)
-                        .reject(member -> view.contains(member.store()))
-                        .reject(beliefs::isRetiring)
-                        .reject(beliefs::isSuspected)
-                        .sortBy(load::members);
-        while (kept.size() + chosen.size() < wanted && candidates.nonEmpty()) {
-            Vector<Member> present = kept.appendAll(chosen);
-            Member next = inAnotherZone(candidates, present);
-            chosen = chosen.append(next);
-            candidates = candidates.remove(next);
+        /** Keeps the members that are alive and not retiring, and adds others up to a size. */
+        private Change refilled(View view, Vector<Member> alive, int size, Vector<Member> sources) {
+            Vector<Member> kept = alive.reject(beliefs::isRetiring);
+            Vector<Member> candidates =
+                    Vector.ofAll(hosts)
+                            .reject(member -> view.contains(member.store()))
+                            .reject(beliefs::isRetiring)
+                            .reject(beliefs::isSuspected)
+                            .sortBy(load::members);
+            Vector<Member> joiners = fill(kept, candidates, size).drop(kept.size());
+            return new Change(view, kept, joiners, sources);
         }
-        return chosen;
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -155,9 +155,7 @@
         Set<Member> complete =
                 shard.records.size() == 0 ? HashSet.ofAll(view.members()) : HashSet.empty();
         shard.copies.start(view.epoch(), complete.map(Member::store));
-        if (shard.highestSeen.compareTo(view.epoch()) < 0) {
-            shard.highestSeen = view.epoch();
-        }
+        shard.highestSeen = later(shard.highestSeen, view.epoch());
     }
 
     private static boolean continuesTerm(View before, View after) {
@@ -255,7 +253,7 @@
         return shard.view != null
                 && !shard.fenced
                 && shard.endedThrough.compareTo(shard.view.epoch()) < 0
-                && shard.view.primary().store().equals(ownStore)
+                && shard.view.hasPrimary(ownStore)
                 && shard.highestSeen.compareTo(shard.view.epoch()) <= 0;
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTransfer.java
@@ -35,35 +35,26 @@
     }
 
     private CompletableFuture<Boolean> transfer(LayoutPlanner.Change change) {
-        if (!change.current().primary().store().equals(self.store())) {
+        if (!change.current().hasPrimary(self.store())) {
             return takeOver(change);
         }
-        return change.hasSameMembers() ? handOver(change) : repair(change);
-    }
-
-    /** Only a new primary has to hold all records: the others held enough of them before. */
-    private CompletableFuture<Boolean> handOver(LayoutPlanner.Change change) {
-        View view = change.current();
-        Vector<Member> successor = others(change.next().members().take(1));
-        shards.startJoining(view.shard(), successor);
-        return copyToAll(
-                view,
-                successor.reject(member -> shards.isComplete(view.shard(), member)),
-                shards.snapshot(view.shard()));
+        Vector<Member> next = change.next().members();
+        // Where all members stay, enough of them hold each record, and the new primary needs all.
+        return complete(change.current(), change.hasSameMembers() ? next.take(1) : next);
     }
 
     private static CompletableFuture<Boolean> done(boolean value) {
         return CompletableFuture.completedFuture(value);
     }
 
-    /** New records go to all members of the next view from now on, the present ones are copied. */
-    private CompletableFuture<Boolean> repair(LayoutPlanner.Change change) {
-        View view = change.current();
-        Vector<Member> next = change.next().members();
+    /** New records go to these members from now on; those that lack others receive all. */
+    private CompletableFuture<Boolean> complete(View view, Vector<Member> members) {
+        shards.startJoining(view.shard(), members);
         Vector<Member> incomplete =
-                others(next).reject(member -> shards.isComplete(view.shard(), member));
-        shards.startJoining(view.shard(), next);
-        return copyToAll(view, incomplete, shards.snapshot(view.shard()));
+                others(members).reject(member -> shards.isComplete(view.shard(), member));
+        return incomplete.isEmpty()
+                ? done(true)
+                : copyToAll(view, incomplete, shards.snapshot(view.shard()));
     }
 
     private Vector<Member> others(Vector<Member> members) {
@@ -71,7 +62,14 @@
     }
 
     /** The records of a member that has ended the epoch. */
-    private record Collected(Member source, Vector<StoredRecord> records) {}
+    private record Collected(Member source, Vector<StoredRecord> records) {
+        /** Returns the records that the member lacks. */
+        Vector<StoredRecord> missing(Vector<StoredRecord> all) {
+            Set<Object> present =
+                    records.toJavaStream().map(StoredRecord::identity).collect(Collectors.toSet());
+            return all.reject(record -> present.contains(record.identity()));
+        }
+    }
 
     /** Ends the epoch here and at the other members, and unites their records. */
     private CompletableFuture<Boolean> takeOver(LayoutPlanner.Change change) {
@@ -119,22 +117,15 @@
         View view = change.current();
         Vector<StoredRecord> theirs = collected.flatMap(Collected::records);
         shards.merge(view.shard(), theirs);
+        Vector<StoredRecord> united = shards.snapshot(view.shard());
         CompletableFuture<Boolean> all = log.append(view.shard(), theirs).thenApply(unused -> true);
         for (Collected member : collected.filter(c -> change.kept().contains(c.source()))) {
             all =
                     all.thenCombine(
-                            copy(view, member.source(), missing(view, member.records())),
+                            copy(view, member.source(), member.missing(united)),
                             Boolean::logicalAnd);
         }
-        return all.thenCombine(
-                copyToAll(view, change.joiners(), shards.snapshot(view.shard())),
-                Boolean::logicalAnd);
-    }
-
-    private Vector<StoredRecord> missing(View view, Vector<StoredRecord> theirs) {
-        Set<Object> present =
-                theirs.toJavaStream().map(StoredRecord::identity).collect(Collectors.toSet());
-        return shards.snapshot(view.shard()).reject(r -> present.contains(r.identity()));
+        return all.thenCombine(copyToAll(view, change.joiners(), united), Boolean::logicalAnd);
     }
 
     private CompletableFuture<Boolean> copyToAll(
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/View.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/View.java
@@ -19,6 +19,11 @@
         return members.head();
     }
 
+    /** Tells whether the files of a host are those of the primary. */
+    public boolean hasPrimary(StoreId store) {
+        return primary().store().equals(store);
+    }
+
     /** Tells whether the files of a host belong to this view. */
     public boolean contains(StoreId store) {
         return members.exists(member -> member.store().equals(store));
