Let the endpoint registry take the time and the ids itself

Cause: every caller passed the current time to a registry that has a scheduler, and the ids of a table that it owns.

Change: both parameters go. The tests keep their assertions.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
@@ -49,9 +49,9 @@
         }
 
         void serviceLostAndRegained(long outageMillis) {
-            registry.serviceReachable(false, scheduler.nanoTime());
+            registry.serviceReachable(false);
             run(outageMillis);
-            registry.serviceReachable(true, scheduler.nanoTime());
+            registry.serviceReachable(true);
         }
 
         void run(long millis) {
@@ -64,7 +64,7 @@
         /** Guards against calls to an endpoint that has left. */
         @Test
         public void removedAtOnce() {
-            registry.removed(ID, scheduler.nanoTime());
+            registry.removed(ID);
             assertEquals(table.size(), 0);
         }
     }
@@ -75,7 +75,7 @@
         @Test
         public void lapsedRegistrationMayReturn() {
             serviceLostAndRegained(1_000);
-            registry.removed(ID, scheduler.nanoTime());
+            registry.removed(ID);
             run(1_500);
             assertEquals(table.size(), 1);
             registry.registered(record());
@@ -87,7 +87,7 @@
         @Test
         public void removedWhenTheTimeToReturnHasPassed() {
             serviceLostAndRegained(1_000);
-            registry.removed(ID, scheduler.nanoTime());
+            registry.removed(ID);
             run(2_500);
             assertEquals(table.size(), 0);
         }
@@ -100,7 +100,7 @@
         public void removedAtOnceOnceTheTimeToReturnHasPassed() {
             serviceLostAndRegained(100);
             run(3_700);
-            registry.removed(ID, scheduler.nanoTime());
+            registry.removed(ID);
             assertEquals(table.size(), 0);
         }
 
@@ -108,7 +108,7 @@
         @Test
         public void missingFromTheListingIsHeldBack() {
             serviceLostAndRegained(3_000);
-            registry.listed(Set.of(), Set.of(ID), scheduler.nanoTime());
+            registry.listed(Set.of());
             assertEquals(table.size(), 1);
             run(2_500);
             assertEquals(table.size(), 0);
@@ -123,7 +123,7 @@
             EndpointId other = new EndpointId("engine-2");
             registry.registered(record(other));
             serviceLostAndRegained(10_000);
-            registry.listed(Set.of(other), table.ids(), scheduler.nanoTime());
+            registry.listed(Set.of(other));
             assertEquals(table.ids(), Set.of(other));
         }
 
@@ -135,7 +135,7 @@
             }
             serviceLostAndRegained(5_000);
             for (int i = 1; i <= 4; i++) {
-                registry.removed(new EndpointId("engine-" + i), scheduler.nanoTime());
+                registry.removed(new EndpointId("engine-" + i));
             }
             assertEquals(table.size(), 2);
             run(2_200);
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
@@ -49,7 +49,7 @@
     }
 
     /** The key-value service has stopped answering, or answers again. */
-    public void serviceReachable(boolean value, long now) {
+    public void serviceReachable(boolean value) {
         lock.run(
                 () -> {
                     if (!value) {
@@ -57,7 +57,7 @@
                     }
                     reachable = value;
                     disturbed = true;
-                    regainedAt = now;
+                    regainedAt = scheduler.nanoTime();
                 });
     }
 
@@ -80,20 +80,20 @@
     }
 
     /** All endpoints that are registered; the others have been removed meanwhile. */
-    public void listed(Set<EndpointId> present, Set<EndpointId> known, long now) {
+    public void listed(Set<EndpointId> present) {
         removed(
-                known.stream()
+                table.ids().stream()
                         .filter(id -> !present.contains(id))
-                        .collect(Collectors.toUnmodifiableSet()),
-                now);
+                        .collect(Collectors.toUnmodifiableSet()));
     }
 
     /** The registration of an endpoint has been removed. */
-    public void removed(EndpointId id, long now) {
-        removed(Set.of(id), now);
+    public void removed(EndpointId id) {
+        removed(Set.of(id));
     }
 
-    private void removed(Set<EndpointId> ids, long now) {
+    private void removed(Set<EndpointId> ids) {
+        long now = scheduler.nanoTime();
         long hold = lock.locked(() -> remainingReturnNanos(now));
         Set<ServiceName> scarce = hold > 0 ? lock.locked(() -> scarceWithout(ids)) : Set.of();
         for (EndpointId id : ids) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EndpointListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EndpointListener.java
@@ -6,7 +6,6 @@
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointRegistry;
-import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.PrefixWatcher;
@@ -17,13 +16,11 @@
     private static final StructuredLog LOG = StructuredLog.of("endpoint");
 
     private final PlatformAdapter adapter;
-    private final EndpointTable table;
     private final EndpointRegistry registry;
     private volatile boolean listed;
 
-    EndpointListener(PlatformAdapter adapter, EndpointTable table, EndpointRegistry registry) {
+    EndpointListener(PlatformAdapter adapter, EndpointRegistry registry) {
         this.adapter = adapter;
-        this.table = table;
         this.registry = registry;
     }
 
@@ -34,13 +31,12 @@
 
     @Override
     public void onListing(KeyValueService.Listing listing) {
-        Set<EndpointId> known = table.ids();
         Set<EndpointId> present = new HashSet<>();
         for (KeyValueService.Item item : listing.items()) {
             apply(item);
             present.add(adapter.endpointOf(item.key()));
         }
-        registry.listed(present, known, System.nanoTime());
+        registry.listed(present);
         listed = true;
     }
 
@@ -49,13 +45,13 @@
         switch (change) {
             case KeyValueService.Change.Written(KeyValueService.Item item) -> apply(item);
             case KeyValueService.Change.Removed(String key, long _) ->
-                    registry.removed(adapter.endpointOf(key), System.nanoTime());
+                    registry.removed(adapter.endpointOf(key));
         }
     }
 
     @Override
     public void onReachable(boolean reachable) {
-        registry.serviceReachable(reachable, System.nanoTime());
+        registry.serviceReachable(reachable);
     }
 
     private void apply(KeyValueService.Item item) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -56,7 +56,7 @@
         parts = new HostParts(settings, adapter);
         endpoints = new EndpointTable(settings.zone(), parts.random());
         EndpointRegistry registry = new EndpointRegistry(endpoints, parts.scheduler());
-        endpointListener = new EndpointListener(adapter, endpoints, registry);
+        endpointListener = new EndpointListener(adapter, registry);
         calls = new CallHandler(callContext());
         registration = registration(settings);
         server =
