--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/OwnAdapter.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/OwnAdapter.java
@@ -9,7 +9,6 @@
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
-import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.keyvalue.KeyValueService;
@@ -92,11 +91,6 @@
         return ENDPOINT_PREFIX;
     }
 
-    @Override
-    public EndpointId endpointOf(String key) {
-        return new EndpointId(key.substring(ENDPOINT_PREFIX.length()));
-    }
-
     @Override
     public Either<String, EndpointRecord> decodeEndpoint(String key, byte[] value) {
         String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
--- a/tamarackfold/src/main/java/org/tamarackfold/adapter/PlatformAdapter.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/adapter/PlatformAdapter.java
@@ -45,7 +45,9 @@
     String endpointPrefix();
 
     /** Returns the endpoint that registers under a key. */
-    EndpointId endpointOf(String key);
+    default EndpointId endpointOf(String key) {
+        return new EndpointId(key.substring(endpointPrefix().length()));
+    }
 
     /** Decodes the registration of an endpoint; left is the reason why it is malformed. */
     Either<String, EndpointRecord> decodeEndpoint(String key, byte[] value);
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/AnswerEncoder.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/AnswerEncoder.java
@@ -20,12 +20,8 @@
         if (answer instanceof Answer.Refused(Duration retryAfter, String _)) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds(retryAfter));
         }
-        byte[] body = body(answer);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.setResponseContentLength(body.length);
-        ResponseWriter writer = new ResponseWriter(exchange, () -> {});
-        writer.write(body);
-        writer.end();
+        ResponseWriter.sendWhole(exchange, body(answer));
     }
 
     static int status(Answer answer) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/WholeAnswerRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/WholeAnswerRelay.java
@@ -2,9 +2,10 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import org.tamarackfold.transport.BodyBuffer;
 import org.tamarackfold.transport.ResponseWriter;
+import org.xnio.IoUtils;
 
 /**
  * Sends an answer to the caller once all of it has arrived, so that a broken one can be retried.
@@ -13,7 +14,7 @@
     private final HttpServerExchange exchange;
     private final int status;
     private final HeaderMap headers;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(1024);
+    private final BodyBuffer body = new BodyBuffer();
     private boolean started;
 
     WholeAnswerRelay(HttpServerExchange exchange, int status, HeaderMap headers) {
@@ -24,9 +25,7 @@
 
     @Override
     public void onBody(ByteBuffer bytes) {
-        byte[] chunk = new byte[bytes.remaining()];
-        bytes.get(chunk);
-        body.writeBytes(chunk);
+        body.append(bytes);
     }
 
     @Override
@@ -47,17 +46,13 @@
     @Override
     public void finish() {
         started = true;
-        byte[] bytes = body.toByteArray();
         exchange.setStatusCode(status);
         ForwardedHeaders.towardsCaller(headers, exchange.getResponseHeaders());
-        exchange.setResponseContentLength(bytes.length);
-        ResponseWriter writer = new ResponseWriter(exchange, () -> {});
-        writer.write(bytes);
-        writer.end();
+        ResponseWriter.sendWhole(exchange, body.toByteArray());
     }
 
     @Override
     public void abort() {
-        org.xnio.IoUtils.safeClose(exchange.getConnection());
+        IoUtils.safeClose(exchange.getConnection());
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentFile.java
@@ -57,6 +57,14 @@
         return content.remaining();
     }
 
+    /** Writes all bytes; a channel may take fewer at a time. */
+    static void writeFully(FileChannel channel, byte[] bytes) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        while (buffer.hasRemaining()) {
+            channel.write(buffer);
+        }
+    }
+
     /** Makes created and removed names of a folder durable. */
     static void syncFolder(Path folder) throws IOException {
         try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
@@ -3,7 +3,6 @@
 import io.vavr.collection.Seq;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -105,10 +104,7 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE)) {
-            ByteBuffer buffer = ByteBuffer.wrap(content);
-            while (buffer.hasRemaining()) {
-                out.write(buffer);
-            }
+            SegmentFile.writeFully(out, content);
             out.force(true);
         }
     }
@@ -160,8 +156,7 @@
     public CompletableFuture<Void> append(ShardId shard, Seq<StoredRecord> records) {
         ByteArrayOutputStream frames = new ByteArrayOutputStream();
         for (StoredRecord record : records) {
-            frames.writeBytes(
-                    SegmentFile.frame(RecordCodec.encode(new RecordCodec.Logged(shard, record))));
+            frames.writeBytes(frame(new RecordCodec.Logged(shard, record)));
         }
         CompletableFuture<Void> done = new CompletableFuture<>();
         waitingSince.compareAndSet(0, System.nanoTime());
@@ -169,6 +164,10 @@
         return done;
     }
 
+    private static byte[] frame(RecordCodec.Logged logged) {
+        return SegmentFile.frame(RecordCodec.encode(logged));
+    }
+
     @Override
     public boolean isStalled() {
         long since = waitingSince.get();
@@ -217,10 +216,7 @@
 
     private void write(List<Pending> batch) throws IOException {
         for (Pending pending : batch) {
-            ByteBuffer buffer = ByteBuffer.wrap(pending.frames());
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
-            }
+            SegmentFile.writeFully(channel, pending.frames());
             appendedBytes += pending.frames().length;
         }
         channel.force(false);
@@ -234,10 +230,7 @@
         channel.close();
         openSegment();
         for (RecordCodec.Logged logged : liveRecords.get()) {
-            ByteBuffer buffer = ByteBuffer.wrap(SegmentFile.frame(RecordCodec.encode(logged)));
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
-            }
+            SegmentFile.writeFully(channel, frame(logged));
         }
         channel.force(false);
         for (Path segment : old) {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
@@ -53,10 +53,6 @@
     }
 
     private static void send(HttpServerExchange exchange, PeerReply reply) {
-        byte[] bytes = MessageCodec.encode(reply);
-        exchange.setResponseContentLength(bytes.length);
-        ResponseWriter writer = new ResponseWriter(exchange, () -> {});
-        writer.write(bytes);
-        writer.end();
+        ResponseWriter.sendWhole(exchange, MessageCodec.encode(reply));
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpClientPool.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpClientPool.java
@@ -61,7 +61,11 @@
     static final class ThreadPool {
         private final Map<Address, Deque<Idle>> idle = new HashMap<>();
 
-        private record Idle(ClientConnection connection, long expiresAt) {}
+        private record Idle(ClientConnection connection, long expiresAt) {
+            boolean isUsable(long now) {
+                return expiresAt - now > 0 && connection.isOpen();
+            }
+        }
 
         /** Takes the connection used last, so that surplus ones expire; null when none is left. */
         ClientConnection take(Address address, long now) {
@@ -72,7 +76,7 @@
             ClientConnection found = null;
             while (found == null && !queue.isEmpty()) {
                 Idle candidate = queue.pollLast();
-                if (candidate.expiresAt - now > 0 && candidate.connection.isOpen()) {
+                if (candidate.isUsable(now)) {
                     found = candidate.connection;
                 } else {
                     IoUtils.safeClose(candidate.connection);
@@ -105,7 +109,7 @@
             Iterator<Idle> iterator = queue.iterator();
             while (iterator.hasNext()) {
                 Idle candidate = iterator.next();
-                if (candidate.expiresAt - now > 0 && candidate.connection.isOpen()) {
+                if (candidate.isUsable(now)) {
                     continue;
                 }
                 IoUtils.safeClose(candidate.connection);
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseCollector.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseCollector.java
@@ -2,7 +2,6 @@
 
 import io.undertow.util.HeaderMap;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 
@@ -17,7 +16,7 @@
     public record Response(int status, byte[] body) {}
 
     private final Consumer<Either<TransportFailure, Response>> result;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body = new BodyBuffer();
     private int status;
 
     /** Creates a collector that passes on the response, or why there is none. */
@@ -32,9 +31,7 @@
 
     @Override
     public void onBody(ByteBuffer bytes) {
-        byte[] chunk = new byte[bytes.remaining()];
-        bytes.get(chunk);
-        body.writeBytes(chunk);
+        body.append(bytes);
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseWriter.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseWriter.java
@@ -31,6 +31,14 @@
         this.onWritten = onWritten;
     }
 
+    /** Sends a whole response body; the status and other headers are set before. */
+    public static void sendWhole(HttpServerExchange exchange, byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        ResponseWriter writer = new ResponseWriter(exchange, () -> {});
+        writer.write(body);
+        writer.end();
+    }
+
     /** Queues bytes and writes as many as the connection takes. */
     public void write(byte[] bytes) {
         if (done || ending) {
