Share the registration and the wait of a stopping host

Cause: both kinds of host built their registration and the listener to shared state in the same way and waited in the same loop when they stop. One of the loops went on without a pause after an interrupt. EntryNode held a flag that nothing read once it was set.

Change: HostParts builds both, StopWait waits and ends with an interrupt, the flag goes. No other change of behaviour.

--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -27,9 +27,6 @@
 public final class EntryNode implements Host {
     private static final StructuredLog LOG = StructuredLog.of("entry");
 
-    /** Registration of an entry host; a dead one is named to callers for at most this long. */
-    private static final Duration REGISTRATION_LEASE = Duration.ofSeconds(4);
-
     /** Pause between two checks whether the host may register. */
     private static final Duration READY_CHECK = Duration.ofMillis(50);
 
@@ -50,7 +47,6 @@
     private final CallHandler calls;
     private final Undertow server;
     private volatile boolean stopping;
-    private volatile boolean registered;
 
     private EntryNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         parts = new HostParts(settings, adapter);
@@ -110,22 +106,16 @@
                         settings.callers().get(),
                         settings.zone(),
                         settings.peers());
-        return new LeasedKey(
-                parts.keyValue(),
-                SharedKeys.entryHost(settings.host()),
-                parts.codec().encode(self),
-                parts.registrationLease(REGISTRATION_LEASE),
-                parts.scheduler());
+        return parts.registration(
+                SharedKeys.entryHost(settings.host()), parts.codec().encode(self));
     }
 
     private void watch() {
         SharedStateListener sharedState =
-                new SharedStateListener(
-                        parts.members(),
-                        parts.codec(),
+                parts.sharedState(
                         this::layoutRead,
                         SharedKeys.entryHost(parts.settings().host()),
-                        registration::renewKey);
+                        registration);
         parts.watch(
                 new PrefixDispatcher()
                         .add(
@@ -145,14 +135,13 @@
     }
 
     private void registerWhenReady() {
-        if (stopping || registered) {
+        if (stopping) {
             return;
         }
         if (!isReady()) {
             parts.scheduler().after(READY_CHECK, this::registerWhenReady);
             return;
         }
-        registered = true;
         LOG.event("ready").with("endpoints", endpoints.size()).info();
         registration.start();
     }
@@ -165,10 +154,8 @@
         registration.stop();
         calls.startDraining();
         Duration reuse = parts.settings().directoryTimeToLive().multipliedBy(ADDRESS_REUSE);
-        long latest = startedAt + parts.settings().shutdownGrace().minus(STOP_MARGIN).toNanos();
-        while (System.nanoTime() - latest < 0 && !isQuiet(startedAt + reuse.toNanos())) {
-            sleep(READY_CHECK);
-        }
+        Duration limit = parts.settings().shutdownGrace().minus(STOP_MARGIN);
+        StopWait.until(() -> isQuiet(startedAt + reuse.toNanos()), limit);
         LOG.event("stopped").with("active_calls", calls.activeCalls()).info();
         server.stop();
     }
@@ -179,12 +166,4 @@
                 && calls.activeCalls() == 0
                 && now - calls.lastCallNanos() > QUIET.toNanos();
     }
-
-    private static void sleep(Duration duration) {
-        try {
-            Thread.sleep(duration);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostParts.java
@@ -2,9 +2,12 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Random;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.keyvalue.PrefixWatcher;
 import org.tamarackfold.metrics.NodeMetrics;
@@ -12,15 +15,23 @@
 import org.tamarackfold.peer.MemberTable;
 import org.tamarackfold.peer.PeerChannel;
 import org.tamarackfold.peer.SharedStateCodec;
+import org.tamarackfold.peer.SharedStateListener;
 import org.tamarackfold.peer.http.HttpPeerChannel;
 import org.tamarackfold.peer.thrift.ThriftSharedStateCodec;
 import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.time.Durations;
 import org.tamarackfold.time.Scheduler;
 import org.tamarackfold.transport.HttpClientPool;
 import org.tamarackfold.transport.IoRuntime;
 
 /** The parts that every host has. */
 final class HostParts {
+    /**
+     * Registration of a host. A dead entry host is named to callers for at most this long; storage
+     * hosts find out by pings.
+     */
+    private static final Duration REGISTRATION_LEASE = Duration.ofSeconds(4);
+
     /** Reuse of an idle connection whose peer states no limit. */
     private static final Duration DEFAULT_IDLE = Duration.ofSeconds(4);
 
@@ -45,7 +56,7 @@
         this.scheduler = new WorkerScheduler(runtime);
         this.keyValue = adapter.keyValueService(client, settings.keyValue(), metrics);
         this.channel = new HttpPeerChannel(client, metrics);
-        this.random = new java.util.Random(System.nanoTime() ^ settings.host().hashCode());
+        this.random = new Random(System.nanoTime() ^ settings.host().hashCode());
     }
 
     HostSettings settings() {
@@ -96,10 +107,16 @@
         return random;
     }
 
-    /** Returns the duration of a registration; the service grants no shorter lease than its own. */
-    Duration registrationLease(Duration wanted) {
-        Duration shortest = settings.keyValue().minimumLease();
-        return wanted.compareTo(shortest) < 0 ? shortest : wanted;
+    /** Returns the registration of this host, which is not started yet. */
+    LeasedKey registration(String key, byte[] value) {
+        Duration lease = Durations.max(REGISTRATION_LEASE, settings.keyValue().minimumLease());
+        return new LeasedKey(keyValue, key, value, lease, scheduler);
+    }
+
+    /** Returns the listener to what hosts share; it registers this host again when needed. */
+    SharedStateListener sharedState(
+            Consumer<LayoutBook.Stored> onLayout, String ownKey, LeasedKey registration) {
+        return new SharedStateListener(members, codec, onLayout, ownKey, registration::renewKey);
     }
 
     /** Follows all keys with one watch. */
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.LeasedKey;
@@ -28,9 +30,6 @@
 public final class StorageNode implements Host {
     private static final StructuredLog LOG = StructuredLog.of("storage");
 
-    /** Registration of a storage host; it only lists candidates, so its length matters little. */
-    private static final Duration REGISTRATION_LEASE = Duration.ofSeconds(4);
-
     /** Share of the disk that may be appended before old segments are replaced. */
     private static final int COMPACTION_DIVISOR = 6;
 
@@ -40,8 +39,6 @@
     /** Longest time to hand the shards over before a stop. */
     private static final Duration HANDOVER = Duration.ofSeconds(4);
 
-    private static final Duration HANDOVER_CHECK = Duration.ofMillis(50);
-
     private final HostParts parts;
     private final SegmentLog log;
     private final ShardTable shards;
@@ -55,7 +52,7 @@
 
     private StorageNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         parts = new HostParts(settings, adapter);
-        java.util.List<RecordCodec.Logged> restored = new java.util.ArrayList<>();
+        List<RecordCodec.Logged> restored = new ArrayList<>();
         log =
                 SegmentLog.open(
                         settings.dataFolder().get(),
@@ -70,12 +67,8 @@
         manager = manager();
         retirement = new Retirement(parts, self);
         registration =
-                new LeasedKey(
-                        parts.keyValue(),
-                        SharedKeys.storageHost(settings.host()),
-                        parts.codec().encode(self),
-                        parts.registrationLease(REGISTRATION_LEASE),
-                        parts.scheduler());
+                parts.registration(
+                        SharedKeys.storageHost(settings.host()), parts.codec().encode(self));
         server =
                 new Listeners(parts.runtime())
                         .add(settings.peers(), new PeerHandler(replicaService()))
@@ -132,12 +125,10 @@
 
     private void run() {
         SharedStateListener sharedState =
-                new SharedStateListener(
-                        parts.members(),
-                        parts.codec(),
+                parts.sharedState(
                         this::layoutRead,
                         SharedKeys.storageHost(parts.settings().host()),
-                        registration::renewKey);
+                        registration);
         parts.watch(
                 new PrefixDispatcher()
                         .add(SharedKeys.ROOT, sharedState)
@@ -164,16 +155,8 @@
     @Override
     public void stop() {
         LOG.event("stopping").with("store", self.store()).info();
-        long latest = System.nanoTime() + HANDOVER.toNanos();
         parts.members().setRetiring(self.host(), true);
-        while (System.nanoTime() - latest < 0 && retirement.holdsShards()) {
-            try {
-                Thread.sleep(HANDOVER_CHECK);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                break;
-            }
-        }
+        StopWait.until(() -> !retirement.holdsShards(), HANDOVER);
         registration.stop();
         LOG.event("stopped").with("holds_shards", retirement.holdsShards()).info();
         server.stop();
--- a/tamarackfold/src/main/java/org/tamarackfold/time/Durations.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/time/Durations.java
@@ -10,4 +10,9 @@
     public static Duration min(Duration left, Duration right) {
         return left.compareTo(right) <= 0 ? left : right;
     }
+
+    /** Returns the longer of two durations. */
+    public static Duration max(Duration left, Duration right) {
+        return left.compareTo(right) >= 0 ? left : right;
+    }
 }
