Remove what nothing uses and merge the ends of a call

Cause: Route.allows and the header name of the signature had no caller, ReleaseBook returned records whose parts nobody read, tokens handed out were computed in two places, and a time-out and a caller that left cancelled the attempt with the same steps.

Change: the first two go, ReleaseBook.offer tells whether it adopted like LayoutBook.offer, handedOut and cancelAttempt serve both. No change of behaviour.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaders.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaders.java
@@ -18,7 +18,6 @@
  * @param affinity shared by calls concerning the same object
  * @param expectedEndpoint names the only endpoint that may run the call
  * @param notExecuted set by an endpoint that has not run the call
- * @param signature set by an endpoint on its answers
  * @param reserved headers that only the system may set; removed from calls
  */
 public record CallHeaders(
@@ -33,7 +32,6 @@
         HttpString affinity,
         HttpString expectedEndpoint,
         HttpString notExecuted,
-        HttpString signature,
         Set<HttpString> reserved) {
     /** Names used between the product's own callers and endpoints. */
     public static final CallHeaders OWN =
@@ -49,6 +47,5 @@
                     new HttpString("Affinity"),
                     new HttpString("Expected-Endpoint"),
                     new HttpString("Not-Run"),
-                    new HttpString("Answer-Signature"),
                     HashSet.of(new HttpString("Expected-Endpoint")));
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallSession.java
@@ -1,7 +1,9 @@
 package org.tamarackfold.caller.http;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
+import io.vavr.collection.HashSet;
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -23,6 +25,7 @@
 import org.tamarackfold.operator.ServiceDefinition;
 import org.tamarackfold.operator.WeightedService;
 import org.tamarackfold.time.Durations;
+import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /** One call from its arrival to the end of its answer; runs on the I/O thread of its connection. */
@@ -79,7 +82,7 @@
             return;
         }
         boolean tooLarge =
-                error instanceof io.undertow.server.RequestTooBigException
+                error instanceof RequestTooBigException
                         || exchange.getRequestContentLength() > release.limits().bodyBytes();
         exchange.setPersistent(false);
         answer(
@@ -99,9 +102,7 @@
         }
         timer = exchange.getIoThread().executeAfter(this::timedOut, left, TimeUnit.MILLISECONDS);
         watch = DisconnectWatch.start(exchange, this::callerGone);
-        placement =
-                new PlacementRequest(
-                        chooseService(), affinity(), io.vavr.collection.HashSet.empty());
+        placement = new PlacementRequest(chooseService(), affinity(), HashSet.empty());
         if (!turn.needed()) {
             dispatch();
             return;
@@ -270,8 +271,7 @@
     }
 
     private void finishTurn(StreamRelay stream, EndpointRecord endpoint) {
-        int perEvent = tokensPerEvent(endpoint);
-        turn.finished(stream.events() * (long) perEvent);
+        turn.finished(handedOut(endpoint));
         turn.store(stream.collectedData(), timeLeft())
                 .thenAcceptAsync(
                         stored -> turnStored(stored, stream, endpoint), exchange.getIoThread());
@@ -290,12 +290,6 @@
         finish("broken_off", "history was not stored", endpoint);
     }
 
-    private int tokensPerEvent(EndpointRecord endpoint) {
-        return release.service(endpoint.service())
-                .map(ServiceDefinition::tokensPerEvent)
-                .getOrElse(0);
-    }
-
     @Override
     public void onAnswerBroken(String reason) {
         EndpointRecord endpoint = attempt.endpoint();
@@ -324,22 +318,20 @@
     }
 
     private long handedOut(EndpointRecord endpoint) {
-        return relay instanceof StreamRelay stream
-                ? stream.events() * (long) tokensPerEvent(endpoint)
-                : 0;
+        long tokensPerEvent =
+                release.service(endpoint.service())
+                        .map(ServiceDefinition::tokensPerEvent)
+                        .getOrElse(0);
+        return relay instanceof StreamRelay stream ? stream.events() * tokensPerEvent : 0;
     }
 
     private void timedOut() {
         if (finished) {
             return;
         }
-        EndpointRecord endpoint = attempt == null ? null : attempt.endpoint();
         boolean offered = attempt != null || policy.mayHaveRun() > 0;
-        cancelAttempt();
-        if (relay != null && relay.started()) {
-            if (endpoint != null) {
-                turn.finished(handedOut(endpoint));
-            }
+        EndpointRecord endpoint = cancelAttempt();
+        if (hasStarted()) {
             relay.abort();
             finish("timed_out", "stream not finished in time", endpoint);
             return;
@@ -356,21 +348,28 @@
         if (finished) {
             return;
         }
-        EndpointRecord endpoint = attempt == null ? null : attempt.endpoint();
-        cancelAttempt();
-        if (relay != null && relay.started() && endpoint != null) {
-            turn.finished(handedOut(endpoint));
-        }
+        EndpointRecord endpoint = cancelAttempt();
         finish("caller_gone", "connection closed by the caller", endpoint);
-        org.xnio.IoUtils.safeClose(exchange.getConnection());
+        IoUtils.safeClose(exchange.getConnection());
     }
 
-    private void cancelAttempt() {
-        if (attempt != null) {
-            attempt.cancel();
-            observe(new Observation.Nothing());
-            attempt = null;
+    /** Cancels the attempt in progress; returns its endpoint, or null without an attempt. */
+    private EndpointRecord cancelAttempt() {
+        if (attempt == null) {
+            return null;
         }
+        EndpointRecord endpoint = attempt.endpoint();
+        attempt.cancel();
+        observe(new Observation.Nothing());
+        attempt = null;
+        if (hasStarted()) {
+            turn.finished(handedOut(endpoint));
+        }
+        return endpoint;
+    }
+
+    private boolean hasStarted() {
+        return relay != null && relay.started();
     }
 
     private void observe(Observation observation) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/Handlers.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/Handlers.java
@@ -5,6 +5,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
 import org.tamarackfold.adapter.PlatformAdapter;
@@ -37,7 +38,7 @@
     }
 
     static HttpHandler directory(
-            PlatformAdapter adapter, EntryDirectory directory, java.time.Duration timeToLive) {
+            PlatformAdapter adapter, EntryDirectory directory, Duration timeToLive) {
         return exchange -> {
             if (!exchange.getRequestPath().equals(adapter.directoryPath())) {
                 exchange.setStatusCode(StatusCodes.NOT_FOUND);
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/ReleaseListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/ReleaseListener.java
@@ -44,11 +44,11 @@
                     .warn();
             return;
         }
-        ReleaseBook.Adoption adoption = releases.offer(release.get());
+        boolean adopted = releases.offer(release.get());
         LOG.event("release")
                 .with("version", release.get().version())
                 .with("revision", item.revision())
-                .with("adopted", adoption instanceof ReleaseBook.Adoption.Adopted)
+                .with("adopted", adopted)
                 .info();
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/operator/Release.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/Release.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.operator;
 
+import io.vavr.Tuple;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Seq;
@@ -36,7 +37,7 @@
                                 entries ->
                                         Vector.ofAll(entries)
                                                 .sortBy(route -> -route.prefix().length()));
-        this.services = HashMap.ofEntries(services.map(s -> io.vavr.Tuple.of(s.name(), s)));
+        this.services = HashMap.ofEntries(services.map(s -> Tuple.of(s.name(), s)));
         this.limits = limits;
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.Objects;
 import org.tamarackfold.id.RouteName;
-import org.tamarackfold.id.ServiceName;
 
 /** Maps calls by host and path prefix to services, with the rules of these calls. */
 public final class Route {
@@ -79,11 +78,6 @@
         return services;
     }
 
-    /** Tells whether a service may run calls of this route. */
-    public boolean allows(ServiceName service) {
-        return services.exists(entry -> entry.service().equals(service));
-    }
-
     /** Returns the longest time that a caller is kept waiting. */
     public Duration timeout() {
         return timeout;
