Share the steps of the replication tests

Cause: thirteen loops stored turns with a pause, two counted the turns that a working primary answers, two tests made the same assertions, and links were cut in both directions by two calls.

The assertions and seeds stay.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/SimulatedNetwork.java
@@ -47,6 +47,12 @@
         cuts.add(new Link(from, target));
     }
 
+    /** Cuts the links between two addresses in both directions. */
+    public void cutBoth(Address first, Address second) {
+        cut(first, second);
+        cut(second, first);
+    }
+
     /** Restores all links. */
     public void heal() {
         cuts.clear();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/Promises.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/Promises.java
@@ -50,6 +50,28 @@
                         });
     }
 
+    /** Stores turns with pauses between them, in ms. */
+    void storeTurns(int count, long pauseMillis) {
+        for (int i = 0; i < count; i++) {
+            storeTurn();
+            if (pauseMillis > 0) {
+                cluster.run(pauseMillis);
+            }
+        }
+    }
+
+    /** Stores turns with pauses; returns how many have another primary than a host. */
+    int storeTurnsExcept(int count, long pauseMillis, Member away) {
+        int others = 0;
+        for (int i = 0; i < count; i++) {
+            Layout layout = cluster.layout();
+            ProgramId program = programOf(new CallId("turn-" + next));
+            others += layout.view(layout.shardOf(program)).primary().equals(away) ? 0 : 1;
+            storeTurns(1, pauseMillis);
+        }
+        return others;
+    }
+
     void reserve(ProgramId program) {
         CallId call = new CallId("reservation-" + next++);
         cluster.client
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationFaultsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationFaultsTest.java
@@ -25,32 +25,34 @@
          */
         private static final long[] FAILED_SEEDS = {5_109};
 
+        private static void assertKept(Promises promises) {
+            promises.granted.forEach(
+                    (program, tokens) ->
+                            assertTrue(tokens <= Promises.BUDGET, program + ": " + tokens));
+            assertEquals(promises.lostTurns(), List.of());
+        }
+
+        private static Object[][] rows(LongStream seeds) {
+            return seeds.mapToObj(seed -> new Object[] {seed}).toArray(Object[][]::new);
+        }
+
         /** Returns the seeds. */
         @DataProvider(name = "seeds")
         public Object[][] seeds() {
-            Object[][] seeds = new Object[40][];
-            for (int i = 0; i < seeds.length; i++) {
-                seeds[i] = new Object[] {1_000L + i};
-            }
-            return seeds;
+            return rows(LongStream.range(1_000, 1_040));
         }
 
         /** Guards against lost turns and exceeded budgets under crashes and lost messages. */
         @Test(dataProvider = "seeds")
         public void promisesHold(long seed) {
-            Promises promises = play(StorageCluster.formed(4, 1, seed));
-            promises.granted.forEach(
-                    (program, tokens) ->
-                            assertTrue(tokens <= Promises.BUDGET, program + ": " + tokens));
-            assertEquals(promises.lostTurns(), List.of());
+            assertKept(play(StorageCluster.formed(4, 1, seed)));
         }
 
         /** Returns the seeds of the runs with cut links. */
         @DataProvider(name = "cutSeeds")
         public Object[][] cutSeeds() {
-            return LongStream.concat(LongStream.range(5_000, 5_060), LongStream.of(FAILED_SEEDS))
-                    .mapToObj(seed -> new Object[] {seed})
-                    .toArray(Object[][]::new);
+            return rows(
+                    LongStream.concat(LongStream.range(5_000, 5_060), LongStream.of(FAILED_SEEDS)));
         }
 
         /**
@@ -61,11 +63,7 @@
          */
         @Test(dataProvider = "cutSeeds")
         public void promisesHoldWhileLinksAreCut(long seed) {
-            Promises promises = playCuts(StorageCluster.formed(4, 1, seed));
-            promises.granted.forEach(
-                    (program, tokens) ->
-                            assertTrue(tokens <= Promises.BUDGET, program + ": " + tokens));
-            assertEquals(promises.lostTurns(), List.of());
+            assertKept(playCuts(StorageCluster.formed(4, 1, seed)));
         }
 
         private static Promises playCuts(StorageCluster cluster) {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -113,9 +113,7 @@
         public void turnOfAnotherProgramIsFound() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 6);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 20; i++) {
-                promises.storeTurn();
-            }
+            promises.storeTurns(20, 0);
             cluster.run(500);
             for (CallId turn : promises.storedTurns.keySet()) {
                 CompletableFuture<TurnHistory.Lookup> lookup =
@@ -149,9 +147,7 @@
             for (int victim = 0; victim < 4; victim++) {
                 StorageCluster cluster = StorageCluster.formed(4, 1, 10 + victim);
                 Promises promises = new Promises(cluster);
-                for (int i = 0; i < 40; i++) {
-                    promises.storeTurn();
-                }
+                promises.storeTurns(40, 0);
                 cluster.run(1_000);
                 assertEquals(promises.storedTurns.size(), 40);
                 cluster.hosts.get(victim).wipe();
@@ -167,9 +163,7 @@
         public void disksMayBeLostOneAfterTheOther() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 20);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 40; i++) {
-                promises.storeTurn();
-            }
+            promises.storeTurns(40, 0);
             cluster.run(1_000);
             for (int victim = 0; victim < 4; victim++) {
                 cluster.hosts.get(victim).wipe();
@@ -210,10 +204,7 @@
             StorageCluster.StorageHost cutOff = cluster.hosts.get(0);
             cutFromOtherHosts(cluster, cutOff);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 60; i++) {
-                promises.storeTurn();
-                cluster.run(50);
-            }
+            promises.storeTurns(60, 50);
             cluster.run(3_000);
             cutOff.wipe();
             cluster.network.heal();
@@ -230,10 +221,7 @@
             StorageCluster.StorageHost stalled = cluster.hosts.get(1);
             stalled.log.setStalled(true);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 60; i++) {
-                promises.storeTurn();
-                cluster.run(50);
-            }
+            promises.storeTurns(60, 50);
             assertEquals(promises.storedTurns.size(), 60);
             assertFalse(
                     StorageCluster.membersOf(cluster.layout())
@@ -249,8 +237,7 @@
                 StorageCluster cluster, StorageCluster.StorageHost cutOff) {
             for (StorageCluster.StorageHost other : cluster.hosts) {
                 if (other != cutOff) {
-                    cluster.network.cut(other.member.address(), cutOff.member.address());
-                    cluster.network.cut(cutOff.member.address(), other.member.address());
+                    cluster.network.cutBoth(other.member.address(), cutOff.member.address());
                 }
             }
         }
@@ -264,14 +251,10 @@
             StorageCluster cluster = StorageCluster.formed(4, 1, 60);
             cluster.addRelay();
             for (StorageCluster.StorageHost host : cluster.hosts) {
-                cluster.network.cut(StorageCluster.ENTRY, host.member.address());
-                cluster.network.cut(host.member.address(), StorageCluster.ENTRY);
+                cluster.network.cutBoth(StorageCluster.ENTRY, host.member.address());
             }
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 40; i++) {
-                promises.storeTurn();
-                cluster.run(100);
-            }
+            promises.storeTurns(40, 100);
             cluster.run(3_000);
             assertEquals(promises.storedTurns.size(), 40);
             assertEquals(promises.lostTurns(), List.of());
@@ -285,10 +268,7 @@
         public void turnsSurviveALossOfPowerEverywhere() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 30);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 200; i++) {
-                promises.storeTurn();
-                cluster.run(3);
-            }
+            promises.storeTurns(200, 3);
             cluster.hosts.forEach(StorageCluster.StorageHost::losePower);
             cluster.run(1_000);
             cluster.hosts.forEach(StorageCluster.StorageHost::start);
@@ -303,10 +283,7 @@
             for (int victim = 0; victim < 4; victim++) {
                 StorageCluster cluster = StorageCluster.formed(4, 1, 31 + victim);
                 Promises promises = new Promises(cluster);
-                for (int i = 0; i < 100; i++) {
-                    promises.storeTurn();
-                    cluster.run(4);
-                }
+                promises.storeTurns(100, 4);
                 cluster.hosts.forEach(StorageCluster.StorageHost::losePower);
                 cluster.hosts.get(victim).wipe();
                 cluster.run(1_000);
@@ -322,10 +299,7 @@
             StorageCluster cluster = StorageCluster.formed(4, 1, 40);
             cluster.keyValue.setDown(true);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 50; i++) {
-                promises.storeTurn();
-                cluster.run(100);
-            }
+            promises.storeTurns(50, 100);
             assertEquals(promises.storedTurns.size(), 50);
         }
 
@@ -341,16 +315,7 @@
                 cluster.keyValue.setDown(true);
                 away.kill();
                 Promises promises = new Promises(cluster);
-                int expected = 0;
-                for (int i = 0; i < 100; i++) {
-                    CallId call = new CallId("turn-" + i);
-                    Layout layout = cluster.layout();
-                    Member primary =
-                            layout.view(layout.shardOf(Promises.programOf(call))).primary();
-                    expected += primary.equals(away.member) ? 0 : 1;
-                    promises.storeTurn();
-                    cluster.run(50);
-                }
+                int expected = promises.storeTurnsExcept(100, 50, away.member);
                 cluster.run(1_000);
                 assertTrue(expected >= 50, "turns with another primary: " + expected);
                 assertTrue(
@@ -367,18 +332,14 @@
         public void lostAnswersOfTheKeyValueServiceDelayAChangeOnly() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 41);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 30; i++) {
-                promises.storeTurn();
-            }
+            promises.storeTurns(30, 0);
             cluster.run(500);
             cluster.keyValue.setLosingAnswers(true);
             cluster.hosts.get(1).kill();
             cluster.run(4_000);
             cluster.keyValue.setLosingAnswers(false);
             cluster.run(2_000);
-            for (int i = 0; i < 30; i++) {
-                promises.storeTurn();
-            }
+            promises.storeTurns(30, 0);
             cluster.run(2_000);
             assertEquals(promises.storedTurns.size(), 60);
             assertEquals(promises.lostTurns(), List.of());
@@ -392,9 +353,7 @@
         public void anEmptiedHostHoldsNoShardAndNothingIsLost() {
             StorageCluster cluster = StorageCluster.formed(4, 1, 50);
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 40; i++) {
-                promises.storeTurn();
-            }
+            promises.storeTurns(40, 0);
             cluster.run(1_000);
             StorageCluster.StorageHost retired = cluster.hosts.get(2);
             cluster.hosts.forEach(h -> h.members.setRetiring(retired.member.host(), true));
@@ -432,21 +391,11 @@
             cluster.keyValue.setDown(false);
             second.start();
             Promises promises = new Promises(cluster);
-            for (int i = 0; i < 40; i++) {
-                promises.storeTurn();
-                cluster.run(100);
-            }
+            promises.storeTurns(40, 100);
             cluster.keyValue.setDown(true);
             second.kill();
-            int expected = promises.storedTurns.size();
-            for (int i = 40; i < 100; i++) {
-                CallId call = new CallId("turn-" + i);
-                Layout layout = cluster.layout();
-                Member answering = layout.view(layout.shardOf(Promises.programOf(call))).primary();
-                expected += answering.equals(second.member) ? 0 : 1;
-                promises.storeTurn();
-                cluster.run(20);
-            }
+            int expected =
+                    promises.storedTurns.size() + promises.storeTurnsExcept(60, 20, second.member);
             cluster.run(1_000);
             assertTrue(
                     promises.storedTurns.size() >= expected,
