Say that a number is missing from the settings

Cause: for a missing number the error ended in "is ", without what was found (seen with a wrong settings file by hand).

Change: it ends in "is missing". SettingsFileTest missingNumberIsNamed failed before.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
@@ -85,6 +85,13 @@
             assertTrue(error.contains("from 0 to 16"), error);
         }
 
+        /** Guards against an error that ends before it says what was found. */
+        @Test
+        public void missingNumberIsNamed() throws IOException {
+            String error = onlyError(VALID.replace("tolerated_losses = 1\n", ""));
+            assertTrue(error.endsWith("from 0 to 16, is missing"), error);
+        }
+
         /** Guards against a stack trace where the text is not TOML. */
         @Test
         public void brokenSyntaxIsReported() throws IOException {
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
@@ -164,7 +164,7 @@
         if (!node.isNumber() || node.asInt() < minimum || node.asInt() > maximum) {
             error(
                     qualified(table, key),
-                    "must be a number from " + minimum + " to " + maximum + ", is " + node);
+                    "must be a number from " + minimum + " to " + maximum + shown(node));
             return minimum;
         }
         return node.asInt();
@@ -173,12 +173,16 @@
     private Duration seconds(String table, String key) {
         JsonNode node = node(table, key);
         if (!node.isNumber() || node.asDouble() <= 0 || node.asDouble() > MAXIMUM_SECONDS) {
-            error(qualified(table, key), "must be a number of seconds, is " + node);
+            error(qualified(table, key), "must be a number of seconds" + shown(node));
             return Duration.ofSeconds(1);
         }
         return Duration.ofMillis(Math.round(node.asDouble() * 1000));
     }
 
+    private static String shown(JsonNode node) {
+        return node.isMissingNode() ? ", is missing" : ", is " + node;
+    }
+
     private static String qualified(String table, String key) {
         return table.isEmpty() ? key : table + "." + key;
     }
