--- a/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/operator/Route.java
@@ -15,6 +15,9 @@
      */
     private static final int REPEATABLE_ATTEMPTS = 3;
 
+    /** Objective of a route that sets none; no decision depends on the objective yet. */
+    private static final Duration DEFAULT_TARGET_LATENCY = Duration.ofSeconds(1);
+
     private final RouteName name;
     private final String host;
     private final String prefix;
@@ -35,7 +38,7 @@
         this.repeatability = Objects.requireNonNull(builder.repeatability);
         this.services = builder.services;
         this.timeout = builder.timeout;
-        this.targetLatency = builder.targetLatency;
+        this.targetLatency = builder.targetLatency.getOrElse(DEFAULT_TARGET_LATENCY);
         this.priority = builder.priority;
         this.maximumAttempts =
                 builder.maximumAttempts.getOrElse(defaultAttempts(builder.repeatability));
@@ -121,7 +124,7 @@
         private Repeatability repeatability;
         private Seq<WeightedService> services = Vector.empty();
         private Duration timeout = Duration.ofSeconds(30);
-        private Duration targetLatency = Duration.ofSeconds(1);
+        private Option<Duration> targetLatency = Option.none();
         private int priority;
         private Option<Integer> maximumAttempts = Option.none();
         private boolean keepsHistory;
@@ -166,8 +169,8 @@
             return this;
         }
 
-        /** Sets the latency objective. */
-        public Builder targetLatency(Duration value) {
+        /** Sets the latency objective; none leaves it to the default. */
+        public Builder targetLatency(Option<Duration> value) {
             targetLatency = value;
             return this;
         }
