Gather changes before the next watch; derive its wait from the bounds

Cause: each of 95 hosts watches everything and each change woke every watch, so that the calls to the key-value service grew with hosts times changes. Idle watches were renewed every 3 s on all deployments.

Ruled out: a second watch by prefix, which doubles the idle calls; watchers that pass changes on within a zone stay open, they add a failure mode for each follower.

Change: after changes, the next watch waits 5 ms for each registered host, at most an eighth of the time within which a change must be in force. A single change still arrives at once. The bounds come with the settings, table propagation; settings without it keep working.

Settings reject fractions, numbers that overflow, and the address 'missing'.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vavr.collection.Vector;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,11 +18,14 @@
 public final class PrefixWatcherTest {
     private PrefixWatcherTest() {}
 
+    private static final Duration GATHERING = Duration.ofMillis(400);
+
     /** A watcher under virtual time whose reports of reachability are recorded. */
     abstract static class Fixture {
         VirtualScheduler scheduler;
         MemoryKeyValueService service;
         List<Boolean> reachability;
+        List<KeyValueService.Change> changes;
 
         /** Starts the watcher. */
         @BeforeMethod
@@ -29,17 +33,47 @@
             scheduler = new VirtualScheduler();
             service = new MemoryKeyValueService(scheduler);
             reachability = new ArrayList<>();
-            new PrefixWatcher(service, "", listener(), scheduler, new Random(1)).start();
+            changes = new ArrayList<>();
+            startWatcher(GATHERING);
             advance(100);
         }
 
+        void startWatcher(Duration gathering) {
+            PrefixDispatcher dispatcher =
+                    new PrefixDispatcher().add("bad/", failingListener()).add("", listener());
+            WatchTiming timing = new WatchTiming(Duration.ofSeconds(3), gathering);
+            new PrefixWatcher(service, "", dispatcher, () -> timing, scheduler, new Random(1))
+                    .start();
+        }
+
+        private static PrefixWatcher.Listener failingListener() {
+            return new PrefixWatcher.Listener() {
+                @Override
+                public void onListing(KeyValueService.Listing listing) {}
+
+                @Override
+                public void onChange(KeyValueService.Change change) {
+                    throw new IllegalStateException("failing listener");
+                }
+            };
+        }
+
+        void write(String key) {
+            service.write(
+                    Vector.empty(),
+                    Vector.of(new KeyValueService.Put(key, new byte[] {1}, 0)),
+                    Vector.empty());
+        }
+
         private PrefixWatcher.Listener listener() {
             return new PrefixWatcher.Listener() {
                 @Override
                 public void onListing(KeyValueService.Listing listing) {}
 
                 @Override
-                public void onChange(KeyValueService.Change change) {}
+                public void onChange(KeyValueService.Change change) {
+                    changes.add(change);
+                }
 
                 @Override
                 public void onReachabilityChanged(boolean reachable) {
@@ -53,6 +87,64 @@
         }
     }
 
+    /** Many hosts register within a short time. */
+    public static final class Bursts extends Fixture {
+        /** Guards against calls to the service that grow with the number of changes. */
+        @Test
+        public void changesOfABurstAreGathered() {
+            long callsBefore = service.calls();
+            for (int i = 0; i < 100; i++) {
+                write("key-" + i);
+                advance(20);
+            }
+            advance(500);
+            assertEquals(changes.size(), 100);
+            long watches = service.calls() - callsBefore - 100;
+            assertTrue(watches <= 8, "watches in 2.5 s: " + watches);
+        }
+
+        /** Guards against a change that arrives late although no other one came before it. */
+        @Test
+        public void singleChangeArrivesAtOnce() {
+            advance(1_000);
+            write("key");
+            advance(50);
+            assertEquals(changes.size(), 1);
+        }
+    }
+
+    /** An unexpected error while a change is applied. */
+    public static final class FailingListener extends Fixture {
+        /** Guards against one change that cannot be applied and blinds the host for good. */
+        @Test
+        public void watchContinuesAfterAnError() {
+            write("bad/key");
+            advance(1_000);
+            write("good/key");
+            advance(1_000);
+            assertEquals(changes.size(), 2);
+        }
+    }
+
+    /** Timing derived from the bounds of a fleet. */
+    public static final class Timing {
+        /** Guards against a silent connection that is noticed only after the bound has passed. */
+        @Test
+        public void waitLeavesTimeWithinTheBound() {
+            WatchTiming small = WatchTiming.of(Duration.ofSeconds(3), Duration.ofSeconds(2), 10);
+            assertEquals(small.longPoll(), Duration.ofSeconds(3));
+            assertEquals(small.gathering(), Duration.ofMillis(50));
+        }
+
+        /** Guards against a pause that uses up the bound in a large fleet. */
+        @Test
+        public void gatheringIsAFractionOfTheBound() {
+            WatchTiming large = WatchTiming.of(Duration.ofSeconds(5), Duration.ofSeconds(4), 900);
+            assertEquals(large.longPoll(), Duration.ofSeconds(7));
+            assertEquals(large.gathering(), Duration.ofMillis(500));
+        }
+    }
+
     /** The service stops answering and recovers; no key changes meanwhile. */
     public static final class Outage extends Fixture {
         /**
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -12,6 +12,7 @@
 import org.tamarackfold.id.StoreId;
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixWatcher;
+import org.tamarackfold.keyvalue.WatchTiming;
 import org.tamarackfold.peer.thrift.ThriftSharedStateCodec;
 import org.tamarackfold.standin.MemoryKeyValueService;
 import org.tamarackfold.standin.MemoryRecordLog;
@@ -26,6 +27,8 @@
 final class StorageCluster {
     private static final Duration SYNC_TIME = Duration.ofMillis(2);
     private static final Duration LEASE_DURATION = Duration.ofSeconds(4);
+    private static final WatchTiming WATCH_TIMING =
+            new WatchTiming(Duration.ofSeconds(3), Duration.ZERO);
     static final Address ENTRY_ADDRESS = new Address("10.0.9.1", 7000);
 
     final VirtualScheduler scheduler = new VirtualScheduler();
@@ -105,7 +108,14 @@
             Scheduler processScheduler) {
         SharedStateListener listener =
                 new SharedStateListener(hostTable, codec, onLayout, ownKey, onOwnKeyRemoved);
-        new PrefixWatcher(keyValue, SharedKeys.ROOT, listener, processScheduler, random).start();
+        new PrefixWatcher(
+                        keyValue,
+                        SharedKeys.ROOT,
+                        listener,
+                        () -> WATCH_TIMING,
+                        processScheduler,
+                        random)
+                .start();
     }
 
     /**
--- a/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
@@ -87,6 +87,30 @@
             assertTrue(error.contains("from 0 to 16"), error);
         }
 
+        /** Guards against a fraction that is cut off, and a number that overflows. */
+        @Test
+        public void numberThatIsNotAWholeIntegerIsReported() throws IOException {
+            for (String number : new String[] {"1.5", "99999999999", "1e3"}) {
+                String error = onlyError(VALID.replace("losses = 1", "losses = " + number));
+                assertTrue(error.contains("must be a whole number from 0 to 16"), error);
+            }
+        }
+
+        /** Guards against the word of the placeholder being taken for a missing address. */
+        @Test
+        public void addressThatReadsMissingIsReported() throws IOException {
+            String error = onlyError(VALID.replace("127.0.0.1:1003", "missing"));
+            assertTrue(error.contains("listeners.peers must be ip:port, is missing"), error);
+        }
+
+        /** Guards against a bound that is left out and silently replaced by a default. */
+        @Test
+        public void incompletePropagationBoundsAreReported() throws IOException {
+            String error =
+                    onlyError(VALID + "[propagation]\nrecovery_ms = 5000\nrelease_ms = 4000\n");
+            assertTrue(error.contains("propagation.drain_ms"), error);
+        }
+
         /** Guards against an error message that does not say that the number is missing. */
         @Test
         public void missingNumberIsReported() throws IOException {
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.tamarackfold.errors.Failure;
 import org.tamarackfold.log.StructuredLog;
@@ -14,9 +15,6 @@
 public final class PrefixWatcher {
     private static final StructuredLog LOG = StructuredLog.of("keyvalue");
 
-    /** Long-poll wait of a watch call; bounds the time until a dead connection is detected. */
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(3);
-
     /** Back-off after the first failure; doubles with each consecutive failure. */
     private static final long INITIAL_BACKOFF_MILLIS = 100;
 
@@ -48,21 +46,27 @@
     private final KeyValueService service;
     private final String prefix;
     private final Listener listener;
+    private final Supplier<WatchTiming> timing;
     private final Scheduler scheduler;
     private final RandomGenerator random;
     private int consecutiveFailures;
     private volatile boolean stopped;
 
-    /** Creates a watcher; {@code random} adds jitter to the back-off. */
+    /**
+     * Creates a watcher; {@code random} adds jitter to the back-off. The timing is read before each
+     * watch.
+     */
     public PrefixWatcher(
             KeyValueService service,
             String prefix,
             Listener listener,
+            Supplier<WatchTiming> timing,
             Scheduler scheduler,
             RandomGenerator random) {
         this.service = service;
         this.prefix = prefix;
         this.listener = listener;
+        this.timing = timing;
         this.scheduler = scheduler;
         this.random = random;
     }
@@ -97,7 +101,7 @@
 
     private void watch(long afterRevision) {
         if (!stopped) {
-            Duration wait = consecutiveFailures > 0 ? RECOVERY_WAIT : WATCH_WAIT;
+            Duration wait = consecutiveFailures > 0 ? RECOVERY_WAIT : timing.get().longPoll();
             service.watch(prefix, afterRevision, wait)
                     .thenAccept(result -> onWatchResult(afterRevision, result));
         }
@@ -113,7 +117,7 @@
         switch (result.get()) {
             case KeyValueService.WatchResult.Changes(var changes, long asOf) -> {
                 changes.forEach(listener::onChange);
-                watch(asOf);
+                watchAfterGathering(asOf, changes.isEmpty());
             }
             case KeyValueService.WatchResult.ChangesUnavailable() -> {
                 LOG.event("history_lost")
@@ -125,6 +129,16 @@
         }
     }
 
+    /** Lets further changes gather after some have arrived, so that one call returns them all. */
+    private void watchAfterGathering(long afterRevision, boolean atOnce) {
+        Duration gathering = timing.get().gathering();
+        if (atOnce || gathering.isZero()) {
+            watch(afterRevision);
+            return;
+        }
+        scheduler.after(gathering, () -> watch(afterRevision));
+    }
+
     private void onSuccess() {
         if (consecutiveFailures > 0) {
             LOG.event("regained")
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
@@ -10,6 +10,7 @@
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.keyvalue.PrefixWatcher;
+import org.tamarackfold.keyvalue.WatchTiming;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.peer.HostTable;
 import org.tamarackfold.peer.LayoutHolder;
@@ -19,6 +20,7 @@
 import org.tamarackfold.peer.http.HttpPeerChannel;
 import org.tamarackfold.peer.thrift.ThriftSharedStateCodec;
 import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.settings.PropagationBounds;
 import org.tamarackfold.time.Durations;
 import org.tamarackfold.time.Scheduler;
 import org.tamarackfold.transport.IoRuntime;
@@ -131,6 +133,11 @@
      * service.
      */
     void startWatch(PrefixDispatcher dispatcher) {
-        new PrefixWatcher(keyValue, "", dispatcher, scheduler, random).start();
+        new PrefixWatcher(keyValue, "", dispatcher, this::watchTiming, scheduler, random).start();
+    }
+
+    private WatchTiming watchTiming() {
+        PropagationBounds bounds = settings.propagationBounds();
+        return WatchTiming.of(bounds.recovery(), bounds.shortest(), hostTable.size());
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HostTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HostTable.java
@@ -62,6 +62,11 @@
         return lock.withLock(() -> Vector.ofAll(entryHosts.values()).sortBy(EntryHost::host));
     }
 
+    /** Returns the number of registered hosts. */
+    public int size() {
+        return lock.withLock(() -> storageHosts.size() + entryHosts.size());
+    }
+
     /** Returns the storage hosts whose shards are to be moved to other hosts. */
     public Set<HostId> draining() {
         return lock.withLock(() -> draining);
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/HostSettings.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/HostSettings.java
@@ -25,6 +25,7 @@
     private final int diskMegabytes;
     private final Duration shutdownGrace;
     private final Duration directoryTimeToLive;
+    private final PropagationBounds propagationBounds;
 
     private HostSettings(Builder builder) {
         this.role = Objects.requireNonNull(builder.role);
@@ -42,6 +43,7 @@
         this.diskMegabytes = builder.diskMegabytes;
         this.shutdownGrace = builder.shutdownGrace;
         this.directoryTimeToLive = builder.directoryTimeToLive;
+        this.propagationBounds = builder.propagationBounds;
     }
 
     /** Returns a builder without the required values. */
@@ -124,6 +126,11 @@
         return directoryTimeToLive;
     }
 
+    /** Returns how soon changes in the key-value service must be in force. */
+    public PropagationBounds propagationBounds() {
+        return propagationBounds;
+    }
+
     /**
      * Builder; the role, host, zone, adapter name, peer address, metrics address and keyValue are
      * required.
@@ -144,6 +151,7 @@
         private int diskMegabytes;
         private Duration shutdownGrace = Duration.ofSeconds(8);
         private Duration directoryTimeToLive = Duration.ofSeconds(1);
+        private PropagationBounds propagationBounds = PropagationBounds.DEFAULT;
 
         private Builder() {}
 
@@ -239,6 +247,12 @@
             return this;
         }
 
+        /** Sets how soon changes must be in force; {@link PropagationBounds#DEFAULT} by default. */
+        public Builder propagationBounds(PropagationBounds value) {
+            propagationBounds = value;
+            return this;
+        }
+
         /**
          * Creates the settings.
          *
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
@@ -17,6 +17,7 @@
 import org.tamarackfold.settings.HostRole;
 import org.tamarackfold.settings.HostSettings;
 import org.tamarackfold.settings.KeyValueSettings;
+import org.tamarackfold.settings.PropagationBounds;
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
 import tools.jackson.dataformat.toml.TomlMapper;
@@ -36,7 +37,8 @@
                             "key_value",
                             "storage",
                             "shutdown",
-                            "directory"),
+                            "directory",
+                            "propagation"),
                     "listeners",
                     HashSet.of("callers", "readiness", "directory", "peers", "metrics"),
                     "key_value",
@@ -46,11 +48,16 @@
                     "shutdown",
                     HashSet.of("grace_s"),
                     "directory",
-                    HashSet.of("time_to_live_ms"));
+                    HashSet.of("time_to_live_ms"),
+                    "propagation",
+                    HashSet.of("recovery_ms", "release_ms", "drain_ms"));
 
     /** Placeholder for a missing string, so that validation continues and reports all errors. */
     private static final String PLACEHOLDER_STRING = "missing";
 
+    /** Upper bound of the propagation times, in milliseconds. */
+    private static final int MAXIMUM_PROPAGATION_MILLIS = 600_000;
+
     /** Placeholder for a missing or malformed address. */
     private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
 
@@ -118,7 +125,8 @@
                 .toleratedLosses(integer("storage", "tolerated_losses", 0, 16))
                 .shutdownGrace(seconds("shutdown", "grace_s"))
                 .directoryTimeToLive(
-                        Duration.ofMillis(integer("directory", "time_to_live_ms", 100, 60_000)));
+                        Duration.ofMillis(integer("directory", "time_to_live_ms", 100, 60_000)))
+                .propagationBounds(propagationBounds());
         if (isEntryHost) {
             builder.callerAddress(Option.some(address("listeners", "callers")))
                     .readinessAddress(Option.some(address("listeners", "readiness")))
@@ -129,6 +137,21 @@
                 .diskMegabytes(integer("storage", "disk_mb", 1, 10_000_000));
     }
 
+    /** Reads the propagation table; settings without it are those of earlier versions. */
+    private PropagationBounds propagationBounds() {
+        if (root.path("propagation").isMissingNode()) {
+            return PropagationBounds.DEFAULT;
+        }
+        return new PropagationBounds(
+                propagationTime("recovery_ms"),
+                propagationTime("release_ms"),
+                propagationTime("drain_ms"));
+    }
+
+    private Duration propagationTime(String key) {
+        return Duration.ofMillis(integer("propagation", key, 1, MAXIMUM_PROPAGATION_MILLIS));
+    }
+
     private void checkKeys(String table, JsonNode node) {
         Set<String> known = KNOWN_KEYS.get(table).get();
         for (String key : node.propertyNames()) {
@@ -152,8 +175,9 @@
     }
 
     private Address address(String table, String key) {
+        int errorsBefore = errors.size();
         String value = string(table, key);
-        if (value.equals(PLACEHOLDER_STRING)) {
+        if (errors.size() > errorsBefore) {
             return PLACEHOLDER_ADDRESS;
         }
         try {
@@ -166,10 +190,15 @@
 
     private int integer(String table, String key, int minimum, int maximum) {
         JsonNode node = node(table, key);
-        if (!node.isNumber() || node.asInt() < minimum || node.asInt() > maximum) {
+        boolean fits = node.isIntegralNumber() && node.canConvertToInt();
+        if (!fits || node.asInt() < minimum || node.asInt() > maximum) {
             addError(
                     qualifiedKey(table, key),
-                    "must be a number from " + minimum + " to " + maximum + actualValue(node));
+                    "must be a whole number from "
+                            + minimum
+                            + " to "
+                            + maximum
+                            + actualValue(node));
             return minimum;
         }
         return node.asInt();
