Check the call id of every response; bound heads, events and bodies

Cause: looked for what operators of similar systems reported, and for bytes without end. EndpointFaultsTest found on the code before: - A late copy of a rejection (503 not run, 421) on a reused connection was taken for the rejection of the next call, since the id was checked after it.

Ruled out, each by a test that passed before: late copies of a success, whole, split over packets, begun while the connection is idle, or behind an early close; header lines without end; a slow sound stream that is cut; a stalled stream with a byte now and then that does not end (it ends at the timeout of the route, and the endpoint's connection is closed).

Change: the id is checked first and must be there on a reused connection. A body is read in at most 16 parts before other connections have their turn. Undertow's client has no limit for heads and takes its connections from the I/O thread, so a delegating opener installs the limit. An error while connecting is reported instead of leaving the call to its deadline.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
@@ -151,10 +151,10 @@
 
     private void makeCalls() throws IOException, InterruptedException {
         out.println("# a turn; the budget of the program is 60 tokens, 20 a turn");
-        scriptEvents("Dear", "funder");
+        scriptEvents("turn-1", "Dear", "funder");
         call("draft", "turn-1", "", "Draft the report. ");
         out.println("# the next turn carries its new input only; the engine receives the history");
-        scriptEvents("Total", "900");
+        scriptEvents("turn-2", "Total", "900");
         call("draft", "turn-2", "turn-1", "Add the total. ");
         out.println("engine received: " + lastRequest(modelEngine).body().replace("\n", "\\n"));
         out.println("# a submission that must not run twice; its answer is lost");
@@ -167,7 +167,7 @@
         out.println("# a turn that continues from one that does not exist");
         call("draft", "turn-3", "turn-0", "Continue. ");
         out.println("# the last 20 tokens, then the budget is spent");
-        scriptEvents("Bye", "now");
+        scriptEvents("turn-4", "Bye", "now");
         call("draft", "turn-4", "turn-2", "Close. ");
         call("draft", "turn-5", "turn-4", "More. ");
     }
@@ -176,12 +176,13 @@
         return endpoint.received().getLast();
     }
 
-    private void scriptEvents(String... data) {
+    private void scriptEvents(String callId, String... data) {
         StringBuilder body = new StringBuilder();
         for (int i = 0; i < data.length; i++) {
             body.append("id: ").append(i + 1).append("\ndata: ").append(data[i]).append("\n\n");
         }
-        modelEngine.respond("200 OK", "Answer-Signature: engine", body.toString());
+        String headers = "Answer-Signature: engine\r\nCall-Id: " + callId;
+        modelEngine.respond("200 OK", headers, body.toString());
     }
 
     private void call(String route, String id, String parent, String input)
--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/ScriptedEndpoint.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/ScriptedEndpoint.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.tamarackfold.id.Address;
 
 /**
@@ -42,6 +43,14 @@
          */
         record Pause(long millis) implements Step {}
 
+        /**
+         * Sends bytes again and again until the client closes the connection.
+         *
+         * @param text the bytes, decoded as Latin-1
+         * @param intervalMillis the pause after each repetition, in milliseconds; 0 for none
+         */
+        record Repeat(String text, long intervalMillis) implements Step {}
+
         /** Closes the connection normally. */
         record Close() implements Step {}
 
@@ -77,6 +86,7 @@
     private final BlockingQueue<ScriptedResponse> responses = new LinkedBlockingQueue<>();
     private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
     private final AtomicInteger connectionsClosedByClient = new AtomicInteger();
+    private final AtomicLong repeatedBytes = new AtomicLong();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
 
     /** Starts an endpoint on a free port of the loopback interface. */
@@ -131,6 +141,11 @@
         return connectionsClosedByClient.get();
     }
 
+    /** Returns the number of bytes sent by {@link Step.Repeat} steps. */
+    public long repeatedBytes() {
+        return repeatedBytes.get();
+    }
+
     private void acceptLoop() {
         try {
             while (true) {
@@ -184,6 +199,8 @@
                     out.flush();
                 }
                 case Step.Pause(long millis) -> pauseUnlessClosed(socket, millis);
+                case Step.Repeat(String text, long intervalMillis) ->
+                        sendUntilClosed(socket, text, intervalMillis);
                 case Step.Close() -> {
                     return false;
                 }
@@ -196,6 +213,18 @@
         return true;
     }
 
+    private void sendUntilClosed(Socket socket, String text, long intervalMillis)
+            throws IOException, InterruptedException {
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        while (true) {
+            socket.getOutputStream().write(bytes);
+            repeatedBytes.addAndGet(bytes.length);
+            if (intervalMillis > 0) {
+                Thread.sleep(intervalMillis);
+            }
+        }
+    }
+
     private static void pauseUnlessClosed(Socket socket, long millis) throws IOException {
         socket.setSoTimeout((int) Math.max(1, millis));
         try {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallHandlerTest.java
@@ -61,7 +61,9 @@
             EntryFixture singleEndpoint = new EntryFixture(1);
             try (singleEndpoint) {
                 for (int i = 0; i < 5; i++) {
-                    singleEndpoint.endpoint().respond("200 OK", SIGNATURE, "ok" + i);
+                    singleEndpoint
+                            .endpoint()
+                            .respond("200 OK", SIGNATURE + "\r\nCall-Id: c" + i, "ok" + i);
                     assertTrue(singleEndpoint.call("unsafe", "c" + i, "", "").endsWith("ok" + i));
                 }
             }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -258,7 +258,8 @@
                 isStream
                         ? new EventStreamRelay(
                                 exchange, status, headers, turnState, this::setReadingPaused)
-                        : new BufferedResponseRelay(exchange, status, headers);
+                        : new BufferedResponseRelay(
+                                exchange, status, headers, this::setReadingPaused);
     }
 
     private void setReadingPaused(boolean paused) {
@@ -270,6 +271,12 @@
     @Override
     public void onResponseBody(ByteBuffer bytes) {
         relay.onBody(bytes);
+        if (relay.isMalformed()) {
+            EndpointRecord endpoint = attempt.endpoint();
+            attempt.cancel();
+            attempt = null;
+            handleIncompleteResponse(endpoint, "response is longer than any valid one");
+        }
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -2,6 +2,7 @@
 
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
+import io.vavr.control.Option;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import org.tamarackfold.caller.AttemptOutcome;
@@ -10,6 +11,7 @@
 import org.tamarackfold.transport.ExchangeHandle;
 import org.tamarackfold.transport.HttpRequest;
 import org.tamarackfold.transport.PooledHttpClient;
+import org.tamarackfold.transport.ResponseHead;
 import org.tamarackfold.transport.ResponseListener;
 import org.tamarackfold.transport.TransportFailure;
 
@@ -110,24 +112,41 @@
     }
 
     @Override
-    public void onHead(int status, HeaderMap headers) {
-        if (headers.contains(headerNames.notRun())) {
-            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
+    public void onHead(ResponseHead head) {
+        Option<String> mismatch = mismatch(head);
+        if (mismatch.isDefined()) {
+            cancel();
+            listener.onNoResponse(new AttemptOutcome.Unknown(), mismatch.get());
             return;
         }
-        if (status == MISDIRECTED_STATUS) {
-            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.MISDIRECTED);
+        if (head.headers().contains(headerNames.notRun())) {
+            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
             return;
         }
-        String echoedCallId = headers.getFirst(headerNames.callId());
-        if (echoedCallId != null && !echoedCallId.equals(call.id().value())) {
-            cancel();
-            listener.onNoResponse(
-                    new AttemptOutcome.Unknown(), "response carries the id of another call");
+        if (head.status() == MISDIRECTED_STATUS) {
+            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.MISDIRECTED);
             return;
         }
         headAccepted = true;
-        listener.onResponseHead(status, headers);
+        listener.onResponseHead(head.status(), head.headers());
+    }
+
+    /**
+     * Returns why the response, also a rejection, does not belong to this call; none if it does. An
+     * endpoint may send a copy of an earlier response late, when the connection has been reused:
+     * relayed, it would be the answer to another call, and taken for a rejection, it would let a
+     * call that runs be sent again.
+     */
+    private Option<String> mismatch(ResponseHead head) {
+        String echoedCallId = head.headers().getFirst(headerNames.callId());
+        if (echoedCallId == null) {
+            return head.reusedConnection()
+                    ? Option.some("response on a reused connection carries no call id")
+                    : Option.none();
+        }
+        return echoedCallId.equals(call.id().value())
+                ? Option.none()
+                : Option.some("response carries the id of another call");
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
@@ -10,6 +10,9 @@
 final class EventParser {
     private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
+    /** More than any event with a few tokens has; bytes without end are no event. */
+    private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineIsEmpty = true;
 
@@ -79,6 +82,11 @@
         return events;
     }
 
+    /** Returns whether the incomplete event is longer than any valid one. */
+    boolean isOverflowing() {
+        return pending.size() > MAXIMUM_EVENT_BYTES;
+    }
+
     /** Returns whether the bytes consumed so far end with a complete event. */
     boolean isAtEventBoundary() {
         return pending.size() == 0;
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
@@ -16,6 +16,9 @@
      */
     private static final long PAUSE_THRESHOLD_BYTES = 256 * 1024;
 
+    /** Upper bound of the output of one turn that is kept for the history. */
+    private static final int MAXIMUM_OUTPUT_BYTES = 4 * 1024 * 1024;
+
     private final HttpServerExchange exchange;
     private final int status;
     private final HeaderMap headers;
@@ -104,6 +107,11 @@
         return parser.isAtEventBoundary();
     }
 
+    @Override
+    public boolean isMalformed() {
+        return parser.isOverflowing() || data.size() > MAXIMUM_OUTPUT_BYTES;
+    }
+
     @Override
     public void finish() {
         startResponse();
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ResponseRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ResponseRelay.java
@@ -18,6 +18,9 @@
      */
     boolean isComplete();
 
+    /** Returns whether the bytes received so far cannot belong to a valid response. */
+    boolean isMalformed();
+
     /** Sends what remains of the response and ends it. */
     void finish();
 
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/BodyBuffer.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/BodyBuffer.java
@@ -17,6 +17,18 @@
         content.writeBytes(part);
     }
 
+    /** Returns the number of bytes in the buffer. */
+    public int size() {
+        return content.size();
+    }
+
+    /** Returns the bytes and empties the buffer. */
+    public byte[] drain() {
+        byte[] bytes = content.toByteArray();
+        content.reset();
+        return bytes;
+    }
+
     /** Returns a copy of the bytes appended so far. */
     public byte[] toByteArray() {
         return content.toByteArray();
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HeadLimitingOpener.java
@@ -0,0 +1,71 @@
+package org.tamarackfold.transport;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.BoundChannel;
+
+/**
+ * Opens connections on an I/O thread and installs a {@link HeadLimitConduit} before Undertow's
+ * client reads from them. The client offers no other place: it opens its connections through the
+ * I/O thread that it is given. An instance serves one connection and is never started as a thread.
+ */
+final class HeadLimitingOpener extends XnioIoThread {
+    private final XnioIoThread thread;
+    private HeadLimitConduit headLimit;
+
+    HeadLimitingOpener(XnioIoThread thread) {
+        super(thread.getWorker(), thread.getNumber());
+        this.thread = thread;
+    }
+
+    /** Returns the conduit of the opened connection. */
+    HeadLimitConduit headLimit() {
+        return headLimit;
+    }
+
+    private void install(StreamConnection connection) {
+        headLimit = new HeadLimitConduit(connection.getSourceChannel().getConduit());
+        connection.getSourceChannel().setConduit(headLimit);
+    }
+
+    @Override
+    protected IoFuture<StreamConnection> openTcpStreamConnection(
+            InetSocketAddress bindAddress,
+            InetSocketAddress destination,
+            ChannelListener<? super StreamConnection> openListener,
+            ChannelListener<? super BoundChannel> bindListener,
+            OptionMap options) {
+        ChannelListener<StreamConnection> installingListener =
+                connection -> {
+                    install(connection);
+                    ChannelListeners.invokeChannelListener(connection, openListener);
+                };
+        return bindAddress == null
+                ? thread.openStreamConnection(
+                        destination, installingListener, bindListener, options)
+                : thread.openStreamConnection(
+                        bindAddress, destination, installingListener, bindListener, options);
+    }
+
+    @Override
+    public void execute(Runnable command) {
+        thread.execute(command);
+    }
+
+    @Override
+    public XnioExecutor.Key executeAfter(Runnable command, long time, TimeUnit unit) {
+        return thread.executeAfter(command, time, unit);
+    }
+
+    @Override
+    public XnioExecutor.Key executeAtInterval(Runnable command, long time, TimeUnit unit) {
+        return thread.executeAtInterval(command, time, unit);
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -28,6 +28,12 @@
     /** Safety margin below the Keep-Alive timeout of a server, which is stated in whole seconds. */
     private static final long IDLE_TIMEOUT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /**
+     * Parts of a body that are read before other connections of the thread have their turn; a
+     * server that sends without pause would otherwise occupy the thread.
+     */
+    private static final int MAXIMUM_PARTS_IN_A_ROW = 16;
+
     private final PooledHttpClient client;
     private final IoRuntime runtime;
     private final PooledHttpClient.ConnectionPool pool;
@@ -35,7 +41,7 @@
     private final HttpRequest request;
     private final ResponseListener listener;
 
-    private ClientConnection connection;
+    private ServerConnection connection;
     private StreamSourceChannel responseChannel;
     private XnioIoThread.Key timer;
     private boolean usesIdleConnection;
@@ -66,7 +72,7 @@
         if (finished) {
             return;
         }
-        ClientConnection idleConnection = pool.acquire(request.address(), System.nanoTime());
+        ServerConnection idleConnection = pool.acquire(request.address(), System.nanoTime());
         if (idleConnection != null) {
             usesIdleConnection = true;
             send(idleConnection);
@@ -81,23 +87,39 @@
                 () -> fail(new TransportFailure.NotSent("connect timed out")));
         String ip = request.address().ip();
         int port = request.address().port();
+        try {
+            openConnection(ip, port);
+        } catch (RuntimeException e) {
+            // Reported as a failure, so that the sender does not wait for its own timeout.
+            fail(new TransportFailure.NotSent("connect failed: " + e));
+        }
+    }
+
+    private void openConnection(String ip, int port) {
+        HeadLimitingOpener opener = new HeadLimitingOpener(thread);
         UndertowClient.getInstance()
                 .connect(
-                        new ConnectCallback(),
+                        new ConnectCallback(opener),
                         URI.create("http://" + ip + ":" + port),
-                        thread,
+                        opener,
                         runtime.buffers(),
                         OptionMap.EMPTY);
     }
 
     private final class ConnectCallback implements ClientCallback<ClientConnection> {
+        private final HeadLimitingOpener opener;
+
+        private ConnectCallback(HeadLimitingOpener opener) {
+            this.opener = opener;
+        }
+
         @Override
         public void completed(ClientConnection opened) {
             if (finished) {
                 IoUtils.safeClose(opened);
                 return;
             }
-            send(opened);
+            send(new ServerConnection(opened, opener.headLimit()));
         }
 
         @Override
@@ -106,8 +128,9 @@
         }
     }
 
-    private void send(ClientConnection openConnection) {
+    private void send(ServerConnection openConnection) {
         connection = openConnection;
+        connection.headLimit().startHead();
         cancelTimer();
         request.responseTimeout()
                 .forEach(
@@ -124,7 +147,7 @@
             headers.put(Headers.HOST, request.address().toString());
         }
         headers.put(Headers.CONTENT_LENGTH, request.body().length);
-        connection.sendRequest(head, new SendCallback());
+        connection.client().sendRequest(head, new SendCallback());
     }
 
     private final class SendCallback implements ClientCallback<ClientExchange> {
@@ -188,12 +211,17 @@
                 return;
             }
             headSeen = true;
+            connection.headLimit().endHead();
             ClientResponse response = exchange.getResponse();
             serverKeepsConnection =
                     !"close".equalsIgnoreCase(firstHeader(response, Headers.CONNECTION_STRING));
             readKeepAliveTimeout(firstHeader(response, "Keep-Alive"));
             responseChannel = exchange.getResponseChannel();
-            listener.onHead(response.getResponseCode(), response.getResponseHeaders());
+            listener.onHead(
+                    new ResponseHead(
+                            response.getResponseCode(),
+                            response.getResponseHeaders(),
+                            usesIdleConnection));
             responseChannel.getReadSetter().set(channel -> readBody());
             readBody();
         }
@@ -228,7 +256,11 @@
     private void readBody() {
         try (PooledByteBuffer pooled = runtime.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (!finished && !paused) {
+            for (int part = 0; !finished && !paused; part++) {
+                if (part == MAXIMUM_PARTS_IN_A_ROW) {
+                    thread.execute(this::resumeReading);
+                    return;
+                }
                 buffer.clear();
                 int count = responseChannel.read(buffer);
                 if (count == 0) {
@@ -307,19 +339,9 @@
         }
     }
 
-    /**
-     * Closes the socket immediately. {@link ClientConnection#close} waits for the server and sends
-     * no end of stream while a request is in progress, so the server would continue to process it.
-     * The channel from {@link ClientConnection#performUpgrade} can be closed without that wait.
-     */
     private void closeConnection() {
-        if (connection == null) {
-            return;
-        }
-        try {
-            IoUtils.safeClose(connection.performUpgrade());
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
+        if (connection != null) {
+            connection.closeDuringExchange();
         }
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.transport;
 
-import io.undertow.client.ClientConnection;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -8,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.tamarackfold.id.Address;
-import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /**
@@ -64,7 +62,7 @@
     static final class ConnectionPool {
         private final Map<Address, Deque<IdleConnection>> connectionsByServer = new HashMap<>();
 
-        private record IdleConnection(ClientConnection connection, long expiresAtNanos) {
+        private record IdleConnection(ServerConnection connection, long expiresAtNanos) {
             boolean isUsable(long nowNanos) {
                 return expiresAtNanos - nowNanos > 0 && connection.isOpen();
             }
@@ -74,18 +72,18 @@
          * Removes and returns the most recently used connection that is usable, or null. The least
          * recently used ones thus expire first.
          */
-        ClientConnection acquire(Address address, long nowNanos) {
+        ServerConnection acquire(Address address, long nowNanos) {
             Deque<IdleConnection> connections = connectionsByServer.get(address);
             if (connections == null) {
                 return null;
             }
-            ClientConnection connection = null;
+            ServerConnection connection = null;
             while (connection == null && !connections.isEmpty()) {
                 IdleConnection candidate = connections.pollLast();
                 if (candidate.isUsable(nowNanos)) {
                     connection = candidate.connection;
                 } else {
-                    IoUtils.safeClose(candidate.connection);
+                    candidate.connection.close();
                 }
             }
             if (connections.isEmpty()) {
@@ -95,12 +93,12 @@
         }
 
         void release(
-                Address address, ClientConnection connection, long expiresAtNanos, long nowNanos) {
+                Address address, ServerConnection connection, long expiresAtNanos, long nowNanos) {
             Deque<IdleConnection> connections =
                     connectionsByServer.computeIfAbsent(address, unused -> new ArrayDeque<>());
             closeExpired(connections, nowNanos);
             if (connections.size() >= MAXIMUM_IDLE_CONNECTIONS) {
-                IoUtils.safeClose(connection);
+                connection.close();
                 return;
             }
             connections.addLast(new IdleConnection(connection, expiresAtNanos));
@@ -109,7 +107,7 @@
         void closeAll(Address address) {
             Deque<IdleConnection> connections = connectionsByServer.remove(address);
             if (connections != null) {
-                connections.forEach(idleConnection -> IoUtils.safeClose(idleConnection.connection));
+                connections.forEach(idleConnection -> idleConnection.connection.close());
             }
         }
 
@@ -120,7 +118,7 @@
                 if (idleConnection.isUsable(nowNanos)) {
                     continue;
                 }
-                IoUtils.safeClose(idleConnection.connection);
+                idleConnection.connection.close();
                 iterator.remove();
             }
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseCollector.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseCollector.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.transport;
 
-import io.undertow.util.HeaderMap;
 import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
@@ -29,8 +28,8 @@
     }
 
     @Override
-    public void onHead(int statusCode, HeaderMap headers) {
-        status = statusCode;
+    public void onHead(ResponseHead head) {
+        status = head.status();
     }
 
     @Override
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHead.java
@@ -0,0 +1,13 @@
+package org.tamarackfold.transport;
+
+import io.undertow.util.HeaderMap;
+
+/**
+ * Status line and headers of a response.
+ *
+ * @param status the HTTP status code
+ * @param headers the headers
+ * @param reusedConnection whether earlier responses have come on the same connection, so that this
+ *     one may be a late copy of one of them
+ */
+public record ResponseHead(int status, HeaderMap headers, boolean reusedConnection) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseListener.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.transport;
 
-import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
 
 /**
@@ -9,7 +8,7 @@
  */
 public interface ResponseListener {
     /** Called once, when the status line and the headers have arrived. */
-    void onHead(int status, HeaderMap headers);
+    void onHead(ResponseHead head);
 
     /** Called for each part of the body; the buffer is valid during the call only. */
     void onBody(ByteBuffer bytes);
