Name only the largest entry hosts of a large zone in the directory

Cause: callers of a large fleet picked any of 64 entry hosts in all zones, so that each of 83 hosts saw about 1.6 calls a second, knew next to nothing about its endpoints, opened connections for single calls, and five calls of six left their zone.

Ruled out: spreading by weight, because callers pick evenly among the addresses; fewer than three active hosts, because a dead one stays listed until its registration expires.

Change: a zone with more than three entry hosts is served by the largest of them, those that hold a third of its capacity and at least three; the others stand by. Smaller zones are served as before. The registration of an entry host carries its share of processor time (optional field; hosts of earlier versions count as one core).

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -78,7 +78,11 @@
         Address address = new Address("10.0.9.2", 7000);
         EntryHost relay =
                 new EntryHost(
-                        new HostId("entry-2"), address, new AvailabilityZone("zone-1"), address);
+                        new HostId("entry-2"),
+                        address,
+                        new AvailabilityZone("zone-1"),
+                        address,
+                        1_000);
         network.attach(address, new RelayService(network.channelOf(address)));
         entryHostTable.put(SharedKeys.entryHost(relay.host()), relay);
     }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/settings/SettingsFileTest.java
@@ -103,6 +103,13 @@
             assertTrue(error.contains("listeners.peers must be ip:port, is missing"), error);
         }
 
+        /** Guards against a share of a processor that is no number of cores. */
+        @Test
+        public void processorShareOutOfRangeIsReported() throws IOException {
+            String error = onlyError("processor_share = 0\n" + VALID);
+            assertTrue(error.contains("processor_share must be a number of processor"), error);
+        }
+
         /** Guards against a bound that is left out and silently replaced by a default. */
         @Test
         public void incompletePropagationBoundsAreReported() throws IOException {
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -22,6 +22,8 @@
   2: required string address
   3: required string zone
   4: required string peerAddress
+  // Thousandths of a processor core; absent in registrations of earlier versions.
+  5: optional i32 processorMillis
 }
 
 struct TurnStruct {
@@ -139,4 +141,5 @@
   7: string unavailable
   8: string storeId
   9: CollectedStruct collected
+  10: EmptyStruct outstanding
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/EntryDirectory.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/EntryDirectory.java
@@ -5,11 +5,25 @@
 import org.tamarackfold.peer.EntryHost;
 import org.tamarackfold.peer.HostTable;
 
-/** Selects the entry hosts whose addresses the directory returns to callers. */
+/**
+ * Selects the entry hosts whose addresses the directory returns to callers. In a zone with many
+ * entry hosts, only the largest ones are returned, as many as hold a third of its capacity; the
+ * others stand by. A few hosts that each see much of the load know their endpoints better, keep
+ * connections to them in use, and leave the zone less often than callers that pick any host.
+ */
 public final class EntryDirectory {
     /** Maximum number of addresses in a directory response; callers use no more. */
     private static final int MAXIMUM_ADDRESSES = 64;
 
+    /**
+     * Fewest active hosts of a zone. Callers exclude an address that has failed them, so a zone
+     * whose only active host was killed would be without one until its registration expires.
+     */
+    private static final int MINIMUM_ACTIVE_HOSTS = 3;
+
+    /** Active hosts hold at least one part in this many of the capacity of their zone. */
+    private static final int ACTIVE_CAPACITY_DIVISOR = 3;
+
     private final HostTable hostTable;
 
     /** Creates a directory that reads the entry hosts from the given table on each request. */
@@ -18,15 +32,33 @@
     }
 
     /**
-     * Returns the addresses of the registered entry hosts, those in the given availability zone
-     * first; empty when no entry host is registered.
+     * Returns the addresses of the entry hosts that callers of a zone use: the active ones of the
+     * zone, or, when the zone has too few hosts, all hosts with those of the zone first. Empty when
+     * no entry host is registered.
      *
      * @param zone the name of the caller's zone; an unknown or empty name prefers no host
      */
     public Vector<Address> addressesFor(String zone) {
         Vector<EntryHost> hosts = hostTable.entryHosts();
         Vector<EntryHost> sameZone = hosts.filter(host -> host.zone().value().equals(zone));
-        Vector<EntryHost> otherZones = hosts.reject(host -> host.zone().value().equals(zone));
-        return sameZone.appendAll(otherZones).take(MAXIMUM_ADDRESSES).map(EntryHost::address);
+        Vector<EntryHost> returned =
+                sameZone.size() > MINIMUM_ACTIVE_HOSTS
+                        ? activeHosts(sameZone)
+                        : sameZone.appendAll(hosts.removeAll(sameZone));
+        return returned.take(MAXIMUM_ADDRESSES).map(EntryHost::address);
+    }
+
+    /** Returns the largest hosts; of equal ones, those with the first names. */
+    private static Vector<EntryHost> activeHosts(Vector<EntryHost> zoneHosts) {
+        long capacity = zoneHosts.map(EntryHost::processorMillis).sum().longValue();
+        Vector<EntryHost> bySize = zoneHosts.sortBy(host -> -host.processorMillis());
+        long activeCapacity = 0;
+        int count = 0;
+        while (count < MINIMUM_ACTIVE_HOSTS
+                || activeCapacity * ACTIVE_CAPACITY_DIVISOR < capacity) {
+            activeCapacity += bySize.get(count).processorMillis();
+            count++;
+        }
+        return bySize.take(count);
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -114,7 +114,8 @@
                         settings.host(),
                         settings.callerAddress().get(),
                         settings.zone(),
-                        settings.peerAddress());
+                        settings.peerAddress(),
+                        settings.processorMillis());
         return components.newRegistration(
                 SharedKeys.entryHost(settings.host()), components.codec().encode(self));
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/EntryHost.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/EntryHost.java
@@ -11,5 +11,11 @@
  * @param address the address at which it accepts calls
  * @param zone its availability zone
  * @param peerAddress the address at which it accepts messages from other hosts
+ * @param processorMillis its share of processor time, in thousandths of a core
  */
-public record EntryHost(HostId host, Address address, AvailabilityZone zone, Address peerAddress) {}
+public record EntryHost(
+        HostId host,
+        Address address,
+        AvailabilityZone zone,
+        Address peerAddress,
+        int processorMillis) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
@@ -19,6 +19,9 @@
 
 /** Encodes the state that hosts share through the key-value service as Thrift structures. */
 public final class ThriftSharedStateCodec implements SharedStateCodec {
+    /** Processor share of a host whose version does not register one: a whole core. */
+    private static final int DEFAULT_PROCESSOR_MILLIS = 1_000;
+
     @Override
     public byte[] encode(Layout layout) {
         return ThriftBytes.encode(
@@ -76,10 +79,11 @@
     public byte[] encode(EntryHost entryHost) {
         return ThriftBytes.encode(
                 new EntryHostStruct(
-                        entryHost.host().value(),
-                        entryHost.address().toString(),
-                        entryHost.zone().value(),
-                        entryHost.peerAddress().toString()));
+                                entryHost.host().value(),
+                                entryHost.address().toString(),
+                                entryHost.zone().value(),
+                                entryHost.peerAddress().toString())
+                        .setProcessorMillis(entryHost.processorMillis()));
     }
 
     @Override
@@ -89,6 +93,9 @@
                 new HostId(struct.getHost()),
                 Address.parse(struct.getAddress()),
                 new AvailabilityZone(struct.getZone()),
-                Address.parse(struct.getPeerAddress()));
+                Address.parse(struct.getPeerAddress()),
+                struct.isSetProcessorMillis()
+                        ? struct.getProcessorMillis()
+                        : DEFAULT_PROCESSOR_MILLIS);
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/HostSettings.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/HostSettings.java
@@ -26,6 +26,7 @@
     private final Duration shutdownGrace;
     private final Duration directoryTimeToLive;
     private final PropagationBounds propagationBounds;
+    private final int processorMillis;
 
     private HostSettings(Builder builder) {
         this.role = Objects.requireNonNull(builder.role);
@@ -44,6 +45,7 @@
         this.shutdownGrace = builder.shutdownGrace;
         this.directoryTimeToLive = builder.directoryTimeToLive;
         this.propagationBounds = builder.propagationBounds;
+        this.processorMillis = builder.processorMillis;
     }
 
     /** Returns a builder without the required values. */
@@ -131,6 +133,11 @@
         return propagationBounds;
     }
 
+    /** Returns the share of processor time of the host, in thousandths of a core. */
+    public int processorMillis() {
+        return processorMillis;
+    }
+
     /**
      * Builder; the role, host, zone, adapter name, peer address, metrics address and keyValue are
      * required.
@@ -152,6 +159,7 @@
         private Duration shutdownGrace = Duration.ofSeconds(8);
         private Duration directoryTimeToLive = Duration.ofSeconds(1);
         private PropagationBounds propagationBounds = PropagationBounds.DEFAULT;
+        private int processorMillis = 1_000;
 
         private Builder() {}
 
@@ -253,6 +261,12 @@
             return this;
         }
 
+        /** Sets the share of processor time, in thousandths of a core; a whole core by default. */
+        public Builder processorMillis(int value) {
+            processorMillis = value;
+            return this;
+        }
+
         /**
          * Creates the settings.
          *
--- a/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/settings/toml/SettingsFile.java
@@ -33,6 +33,7 @@
                             "host",
                             "availability_zone",
                             "adapter",
+                            "processor_share",
                             "listeners",
                             "key_value",
                             "storage",
@@ -55,6 +56,11 @@
     /** Placeholder for a missing string, so that validation continues and reports all errors. */
     private static final String PLACEHOLDER_STRING = "missing";
 
+    private static final int MILLIS_PER_CORE = 1_000;
+
+    /** Upper bound of the processor share, in cores. */
+    private static final double MAXIMUM_PROCESSOR_SHARE = 1024;
+
     /** Upper bound of the propagation times, in milliseconds. */
     private static final int MAXIMUM_PROPAGATION_MILLIS = 600_000;
 
@@ -126,7 +132,8 @@
                 .shutdownGrace(seconds("shutdown", "grace_s"))
                 .directoryTimeToLive(
                         Duration.ofMillis(integer("directory", "time_to_live_ms", 100, 60_000)))
-                .propagationBounds(propagationBounds());
+                .propagationBounds(propagationBounds())
+                .processorMillis(processorMillis());
         if (isEntryHost) {
             builder.callerAddress(Option.some(address("listeners", "callers")))
                     .readinessAddress(Option.some(address("listeners", "readiness")))
@@ -148,6 +155,19 @@
                 propagationTime("drain_ms"));
     }
 
+    /** Reads the share of a processor core; settings without it are those of earlier versions. */
+    private int processorMillis() {
+        JsonNode node = root.path("processor_share");
+        if (node.isMissingNode()) {
+            return MILLIS_PER_CORE;
+        }
+        if (!node.isNumber() || node.asDouble() <= 0 || node.asDouble() > MAXIMUM_PROCESSOR_SHARE) {
+            addError("processor_share", "must be a number of processor cores" + actualValue(node));
+            return MILLIS_PER_CORE;
+        }
+        return (int) Math.max(1, Math.round(node.asDouble() * MILLIS_PER_CORE));
+    }
+
     private Duration propagationTime(String key) {
         return Duration.ofMillis(integer("propagation", key, 1, MAXIMUM_PROPAGATION_MILLIS));
     }
