Charge a turn for what its caller received; say 402 only when certain

Ruled out: reservations that are not settled in time (outstanding=0 in each rejection of the lost turns).

Change: a turn is settled at the tokens of the events that were passed to its caller, 0 when there were none; also when the caller leaves during the preparation. 402 is sent only when settled turns spend the budget, after the write quorum has confirmed that this host is the primary; when unfinished turns hold the rest, the turn is refused at once as not run. A reservation that is not settled within 15 s counts as used: its host has died. Each rejection is logged with what decided it.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamCallsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamCallsTest.java
@@ -181,6 +181,62 @@
             assertEquals(entry.history.settlements, List.of("t1=0"));
         }
 
+        /**
+         * Guards against a program that is told that its budget is spent after two turns that broke
+         * off: a turn of which the caller received nothing uses no tokens, whatever became of it.
+         */
+        @Test
+        public void turnWithoutDeliveredEventsUsesNoTokens() throws Exception {
+            scriptAllEndpoints(new Step.Reset());
+            scriptAllEndpoints(new Step.Reset());
+            String lost = entry.call("turns", "t1", PROGRAM_HEADERS, "x");
+            assertTrue(lost.startsWith("HTTP/1.1 502"), lost);
+            lost = entry.call("turns", "t2", PROGRAM_HEADERS, "x");
+            assertTrue(lost.startsWith("HTTP/1.1 502"), lost);
+            assertSettled("t1=0", "t2=0");
+        }
+
+        /** Guards against charging a turn that timed out before its first event. */
+        @Test
+        public void silentTurnUsesNoTokens() throws Exception {
+            scriptAllEndpoints(new Step.Pause(3_000));
+            String headers = PROGRAM_HEADERS + "Call-Deadline-Ms: 200\r\n";
+            String late = entry.call("turns", "t1", headers, "x");
+            assertTrue(late.startsWith("HTTP/1.1 504"), late);
+            assertSettled("t1=0");
+        }
+
+        /** Waits for the settlements, which follow the end of the connection. */
+        private void assertSettled(String... settlements) throws InterruptedException {
+            long deadlineNanos = System.nanoTime() + 2_000_000_000L;
+            while (entry.history.settlements.size() < settlements.length
+                    && System.nanoTime() < deadlineNanos) {
+                Thread.sleep(10);
+            }
+            assertEquals(entry.history.settlements, List.of(settlements));
+        }
+
+        /** Guards against charging a turn for more than the events that its caller received. */
+        @Test
+        public void brokenTurnIsSettledAtItsDeliveredTokens() throws Exception {
+            scriptAllEndpoints(new Step.Send(CHUNKED_HEAD), chunk(event(1)), new Step.Reset());
+            entry.call("turns", "t1", PROGRAM_HEADERS, "x");
+            assertSettled("t1=5");
+        }
+
+        /** Guards against charging a turn whose caller leaves while it is being prepared. */
+        @Test
+        public void turnOfACallerThatLeavesEarlyUsesNoTokens() throws Exception {
+            entry.history.reservationDelay = Duration.ofMillis(200);
+            try (Socket socket = entry.connect()) {
+                String request = EntryFixture.request("turns", "t1", PROGRAM_HEADERS, "x");
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+                Thread.sleep(50);
+            }
+            assertSettled("t1=0");
+            assertEquals(entry.receivedCount(), 0);
+        }
+
         /**
          * Guards against charging a finished turn its maximum tokens instead of the delivered ones.
          */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -79,6 +79,51 @@
             }
         }
 
+        /**
+         * Guards against a program that is told that its budget is spent while a parallel turn, or
+         * one that was refused, has not been settled yet.
+         */
+        @Test
+        public void unsettledTurnsDoNotSpendTheBudget() {
+            StorageCluster cluster = StorageCluster.withLayout(4, 1, 3);
+            ProgramId program = new ProgramId("p");
+            reserve(cluster, program, "turn-0", 2 * Workload.TURN_TOKENS);
+            reserve(cluster, program, "turn-1", 2 * Workload.TURN_TOKENS);
+            TurnHistory.Reservation early =
+                    reserve(cluster, program, "turn-2", 2 * Workload.TURN_TOKENS);
+            assertTrue(early instanceof TurnHistory.Reservation.Unavailable, "" + early);
+            cluster.client.settle(program, new CallId("turn-0"), 0);
+            cluster.advance(200);
+            TurnHistory.Reservation later =
+                    reserve(cluster, program, "turn-3", 2 * Workload.TURN_TOKENS);
+            assertTrue(later instanceof TurnHistory.Reservation.Granted, "" + later);
+        }
+
+        /** Guards against a turn whose host has died and that holds back the budget for good. */
+        @Test
+        public void reservationThatNobodySettlesIsSpent() {
+            StorageCluster cluster = StorageCluster.withLayout(4, 1, 3);
+            ProgramId program = new ProgramId("p");
+            reserve(cluster, program, "turn-0", Workload.BUDGET);
+            cluster.advance(16_000);
+            TurnHistory.Reservation next =
+                    reserve(cluster, program, "turn-1", Workload.TURN_TOKENS);
+            assertTrue(next instanceof TurnHistory.Reservation.Exhausted, "" + next);
+        }
+
+        private static TurnHistory.Reservation reserve(
+                StorageCluster cluster, ProgramId program, String call, long tokens) {
+            CompletableFuture<TurnHistory.Reservation> reserved =
+                    cluster.client.reserve(
+                            program,
+                            new CallId(call),
+                            tokens,
+                            Workload.BUDGET,
+                            Workload.REQUEST_TIMEOUT);
+            cluster.advance(200);
+            return reserved.getNow(null);
+        }
+
         /** Guards against a late reservation that takes effect after its turn was settled. */
         @Test
         public void settledTurnCannotBeReservedAgain() {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -231,10 +231,7 @@
     private void apply(RetryDecision decision, String reason) {
         switch (decision) {
             case RetryDecision.Retry() -> dispatch();
-            case RetryDecision.Refuse() -> {
-                turnState.recordNotRun();
-                respond(refusal(reason));
-            }
+            case RetryDecision.Refuse() -> respond(refusal(reason));
             case RetryDecision.ReportUnknown() -> respond(new LocalResponse.Unknown(reason));
             case RetryDecision.RelayResponse() ->
                     throw new IllegalStateException("a failed attempt has no response to relay");
@@ -380,7 +377,6 @@
             return;
         }
         if (!sent) {
-            turnState.recordNotRun();
             respond(refusal("deadline passed before the call was sent to an endpoint"));
             return;
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -19,7 +19,9 @@
     private byte[] parentHistory = {};
     private boolean reservationRequested;
     private boolean settled;
-    private long tokensToSettle;
+
+    /** Tokens of the events passed to the response writer; 0 until the first one. */
+    private volatile long deliveredTokens;
 
     /** Result of reserving tokens and reading the history before a turn runs. */
     sealed interface Preparation {
@@ -44,7 +46,6 @@
         this.history = history;
         this.call = call;
         this.route = route;
-        this.tokensToSettle = call.turn().map(ProgramTurn::maximumTokens).getOrElse(0L);
     }
 
     /** Returns whether the call is a turn of a program on a route with token budgets. */
@@ -82,17 +83,12 @@
 
     private Preparation combineResults(
             TurnHistory.Reservation reservation, TurnHistory.Lookup lookup) {
-        Preparation result =
-                switch (reservation) {
-                    case TurnHistory.Reservation.Exhausted() -> new Preparation.BudgetSpent();
-                    case TurnHistory.Reservation.Unavailable(String reason) ->
-                            new Preparation.Unavailable("reservation: " + reason);
-                    case TurnHistory.Reservation.Granted() -> fromLookup(lookup);
-                };
-        if (!(result instanceof Preparation.Ready)) {
-            recordNotRun();
-        }
-        return result;
+        return switch (reservation) {
+            case TurnHistory.Reservation.Exhausted() -> new Preparation.BudgetSpent();
+            case TurnHistory.Reservation.Unavailable(String reason) ->
+                    new Preparation.Unavailable("reservation: " + reason);
+            case TurnHistory.Reservation.Granted() -> fromLookup(lookup);
+        };
     }
 
     private Preparation fromLookup(TurnHistory.Lookup lookup) {
@@ -113,14 +109,9 @@
         return bodyWithHistory;
     }
 
-    /** Records that no endpoint has run or will run the turn, so that it uses no tokens. */
-    void recordNotRun() {
-        tokensToSettle = 0;
-    }
-
     /** Records the tokens of the events passed to the response writer. */
-    void recordDeliveredTokens(long deliveredTokens) {
-        tokensToSettle = deliveredTokens;
+    void recordDeliveredTokens(long tokens) {
+        deliveredTokens = tokens;
     }
 
     /**
@@ -141,15 +132,16 @@
     }
 
     /**
-     * Settles the reservation at the recorded tokens, or at the maximum of the turn if none were
-     * recorded. Does nothing if no reservation was requested or if called again.
+     * Settles the reservation at the tokens delivered to the caller: a turn that broke off before
+     * its first event uses none of the budget. Does nothing if no reservation was requested or if
+     * called again.
      */
     void settle() {
         if (!reservationRequested || settled) {
             return;
         }
         settled = true;
-        history.settle(call.turn().get().program(), call.id(), tokensToSettle);
+        history.settle(call.turn().get().program(), call.id(), deliveredTokens);
     }
 
     private static byte[] concat(byte[] left, byte[] right) {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -92,6 +92,7 @@
                     retry(pending);
             case PeerReply.Done(),
                     PeerReply.Exhausted(),
+                    PeerReply.Outstanding(),
                     PeerReply.Found(byte[] _),
                     PeerReply.Absent(),
                     PeerReply.Alive _ ->
@@ -118,6 +119,8 @@
         return switch (reply) {
             case PeerReply.Done() -> new Reservation.Granted();
             case PeerReply.Exhausted() -> new Reservation.Exhausted();
+            case PeerReply.Outstanding() ->
+                    new Reservation.Unavailable("unfinished turns hold the rest of the budget");
             default -> new Reservation.Unavailable(String.valueOf(reply));
         };
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
@@ -9,9 +9,15 @@
     /** The request succeeded; records that it carried are durable. */
     record Done() implements PeerReply {}
 
-    /** The reservation would exceed the token budget of the program. */
+    /** The reservation would exceed the token budget, whatever unfinished turns use. */
     record Exhausted() implements PeerReply {}
 
+    /**
+     * The token budget does not cover the reservation unless other turns of the program, whose
+     * outcome is not known yet, use less than they have reserved.
+     */
+    record Outstanding() implements PeerReply {}
+
     /**
      * The history of a turn was found.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ReplicaService.java
@@ -74,7 +74,7 @@
             case PeerRequest.Relay _ ->
                     completed(new PeerReply.Unavailable("a storage host passes nothing on"));
             case PeerRequest.Reserve reserve ->
-                    execute(reserve.shard(), shards.reserve(reserve, clock.millis()));
+                    execute(reserve.shard(), reserve(reserve, clock.millis()));
             case PeerRequest.Settle settle ->
                     execute(settle.shard(), shards.settle(settle, clock.millis()));
             case PeerRequest.LookUp lookUp -> execute(lookUp.shard(), shards.lookUp(lookUp));
@@ -93,6 +93,32 @@
                 : new PeerReply.Alive(self.store());
     }
 
+    private ShardTable.Decision reserve(PeerRequest.Reserve request, long nowMillis) {
+        ShardTable.Decision decision = shards.reserve(request, nowMillis);
+        if (rejectsReservation(decision)) {
+            ShardRecords.ChargedTokens charged = shards.chargedToOtherTurns(request, nowMillis);
+            LOG.event("reservation_rejected")
+                    .with("program", request.program())
+                    .with("call", request.call())
+                    .with("tokens", request.tokens())
+                    .with("budget", request.budgetTokens())
+                    .with("settled", charged.settled())
+                    .with("outstanding", charged.outstanding())
+                    .info();
+        }
+        return decision;
+    }
+
+    private static boolean rejectsReservation(ShardTable.Decision decision) {
+        PeerReply reply =
+                switch (decision) {
+                    case ShardTable.Decision.Reply(PeerReply immediate) -> immediate;
+                    case ShardTable.Decision.Replicate(var _, PeerReply confirmed, var _) ->
+                            confirmed;
+                };
+        return reply instanceof PeerReply.Exhausted || reply instanceof PeerReply.Outstanding;
+    }
+
     private static CompletableFuture<PeerReply> completed(PeerReply reply) {
         return CompletableFuture.completedFuture(reply);
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
@@ -58,17 +58,34 @@
     }
 
     /**
-     * Returns the number of tokens that a program is charged for all turns except the given one.
+     * The tokens charged to a program.
+     *
+     * @param settled tokens of turns whose use is known
+     * @param outstanding tokens that turns have reserved and not settled
+     */
+    record ChargedTokens(long settled, long outstanding) {
+        private ChargedTokens plus(StoredRecord.Charge charge, boolean isFinal) {
+            return isFinal
+                    ? new ChargedTokens(settled + charge.tokens(), outstanding)
+                    : new ChargedTokens(settled, outstanding + charge.tokens());
+        }
+    }
+
+    /**
+     * Returns the tokens that a program is charged for all turns except the given one.
+     *
+     * @param lostBeforeMillis reservations that are kept until before this time count as settled,
+     *     because nobody settles them any more
      */
-    long chargedToOtherTurns(ProgramId program, CallId call) {
-        Map<CallId, StoredRecord.Charge> calls = charges.get(program);
-        if (calls == null) {
-            return 0;
+    ChargedTokens chargedToOtherTurns(ProgramId program, CallId call, long lostBeforeMillis) {
+        ChargedTokens charged = new ChargedTokens(0, 0);
+        for (StoredRecord.Charge charge : charges.getOrDefault(program, Map.of()).values()) {
+            if (!charge.call().equals(call)) {
+                boolean isFinal = charge.settled() || charge.keepUntilMillis() < lostBeforeMillis;
+                charged = charged.plus(charge, isFinal);
+            }
         }
-        return calls.values().stream()
-                .filter(charge -> !charge.call().equals(call))
-                .mapToLong(StoredRecord.Charge::tokens)
-                .sum();
+        return charged;
     }
 
     Vector<StoredRecord> all() {
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -21,6 +21,12 @@
     /** Time for which charges are kept after their last change, in milliseconds. */
     private static final long CHARGE_RETENTION_MILLIS = 180_000;
 
+    /**
+     * Age at which a reservation counts as used in full, in milliseconds. Entry hosts settle a turn
+     * when it ends, and try to for 10 s; a turn lasts no longer than a few seconds.
+     */
+    private static final long SETTLEMENT_TIMEOUT_MILLIS = 15_000;
+
     /** Added to the retention of turns, because the clocks of hosts differ, in milliseconds. */
     private static final long CLOCK_SKEW_MARGIN_MILLIS = 30_000;
 
@@ -309,9 +315,15 @@
         if (existing.exists(StoredRecord.Charge::settled)) {
             return new Decision.Reply(new PeerReply.Unavailable("the turn has been settled"));
         }
-        long otherTurnsTokens = records.chargedToOtherTurns(request.program(), request.call());
-        if (otherTurnsTokens + request.tokens() > request.budgetTokens()) {
-            return new Decision.Reply(new PeerReply.Exhausted());
+        ShardRecords.ChargedTokens charged = charged(shard, request, nowMillis);
+        long available = request.budgetTokens() - request.tokens();
+        if (charged.settled() > available) {
+            // The write quorum confirms that no later primary knows of a smaller settlement.
+            return new Decision.Replicate(
+                    Vector.empty(), new PeerReply.Exhausted(), shard.primarySince);
+        }
+        if (charged.settled() + charged.outstanding() > available) {
+            return new Decision.Reply(new PeerReply.Outstanding());
         }
         StoredRecord charge =
                 new StoredRecord.Charge(
@@ -324,6 +336,18 @@
         return new Decision.Replicate(Vector.of(charge), new PeerReply.Done(), shard.primarySince);
     }
 
+    private static ShardRecords.ChargedTokens charged(
+            Shard shard, PeerRequest.Reserve request, long nowMillis) {
+        long lostBeforeMillis = nowMillis - SETTLEMENT_TIMEOUT_MILLIS + CHARGE_RETENTION_MILLIS;
+        return shard.records.chargedToOtherTurns(
+                request.program(), request.call(), lostBeforeMillis);
+    }
+
+    /** Returns the tokens charged to the other turns of a program, for the log. */
+    ShardRecords.ChargedTokens chargedToOtherTurns(PeerRequest.Reserve request, long nowMillis) {
+        return lock.withLock(() -> charged(shard(request.shard()), request, nowMillis));
+    }
+
     /** Decides on a settlement, and applies it when this host is the primary. */
     Decision settle(PeerRequest.Settle request, long nowMillis) {
         StoredRecord charge =
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -176,6 +176,7 @@
                 switch (reply) {
                     case PeerReply.Done() -> ReplyStruct.done(new EmptyStruct());
                     case PeerReply.Exhausted() -> ReplyStruct.exhausted(new EmptyStruct());
+                    case PeerReply.Outstanding() -> ReplyStruct.outstanding(new EmptyStruct());
                     case PeerReply.Found(byte[] text) -> ReplyStruct.found(ByteBuffer.wrap(text));
                     case PeerReply.Absent() -> ReplyStruct.absent(new EmptyStruct());
                     case PeerReply.NotPrimary() -> ReplyStruct.notPrimary(new EmptyStruct());
@@ -205,6 +206,7 @@
         return switch (struct.getSetField()) {
             case DONE -> new PeerReply.Done();
             case EXHAUSTED -> new PeerReply.Exhausted();
+            case OUTSTANDING -> new PeerReply.Outstanding();
             case FOUND -> new PeerReply.Found(struct.getFound());
             case ABSENT -> new PeerReply.Absent();
             case NOT_PRIMARY -> new PeerReply.NotPrimary();
