Contain unexpected errors in layout changes, messages and replayed records

An exception in a change of the layout left changeInProgress set, so that the host never changed a view again; one in a request from another host left its exchange open until the sender gave up; a record that cannot be decoded stopped the start of a storage host. A retirement that was withdrawn while the watch had lost its history stayed in force, and two status writes could overtake each other. Ping counts were read and written in two lock sections. tamarackfold frob exited with 0.

Change: each error is logged and contained where it arises. An unknown command exits with 2.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/Tamarackfold.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/Tamarackfold.java
@@ -15,7 +15,6 @@
     public static void main(String[] arguments) {
         CliBuilder<Runnable> builder = Cli.builder("tamarackfold");
         builder.withDescription("Scheduler for agent programs")
-                .withDefaultCommand(HelpCommand.class)
                 .withCommand(HelpCommand.class)
                 .withCommand(HostCommand.class)
                 .withCommand(CheckSettingsCommand.class)
@@ -23,7 +22,7 @@
                 .withCommand(DemoCommand.class);
         Cli<Runnable> cli = builder.build();
         String[] effectiveArguments =
-                arguments.length > 0 && arguments[0].equals("--help")
+                arguments.length == 0 || arguments[0].equals("--help")
                         ? new String[] {"help"}
                         : arguments;
         try {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
@@ -118,6 +118,22 @@
             }
         }
 
+        /** Guards against a host that does not start because of one record it cannot decode. */
+        @Test
+        public void recordOfUnknownKindIsSkipped() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            try (SegmentLog log = open(folder, Long.MAX_VALUE, new ArrayList<>())) {
+                log.start(Vector::empty);
+                append(log, 1);
+            }
+            Path segment = segments(folder).getLast();
+            byte[] unknown = SegmentFile.frame(new byte[] {1, 2, 3});
+            Files.write(segment, unknown, java.nio.file.StandardOpenOption.APPEND);
+            List<RecordCodec.LoggedRecord> replayed = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, replayed).close();
+            assertEquals(replayed.size(), 1);
+        }
+
         /** Opens a log that ends with this segment, and one in which another segment follows. */
         private static void assertReplaysFirstRecord(Path segment, byte[] content)
                 throws Exception {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
@@ -53,6 +53,19 @@
             assertTrue(decode("\u0000\u0001 not JSON").isLeft());
             assertTrue(decode("[]").isLeft());
         }
+
+        /**
+         * Guards against using a registration of another writer that lacks a field, or holds one of
+         * another type, which is not read otherwise.
+         */
+        @Test
+        public void registrationsWithDamagedUnusedFieldsAreRejected() {
+            assertTrue(decode(REGISTRATION.replace("\"slots\":12", "\"slots\":12.5")).isLeft());
+            assertTrue(decode(REGISTRATION.replace("\"slots\":12", "\"slots\":9e15")).isLeft());
+            assertTrue(decode(REGISTRATION.replace("\"version\":\"v1\",", "")).isLeft());
+            assertTrue(decode(REGISTRATION.replace("\"sequence\":4,", "")).isLeft());
+            assertTrue(decode(REGISTRATION.replace("Ms\":0", "Ms\":\"0\"")).isLeft());
+        }
     }
 
     /** Releases. */
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/RetirementListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/RetirementListener.java
@@ -1,5 +1,7 @@
 package org.tamarackfold.node.runtime;
 
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import java.time.Duration;
 import org.tamarackfold.id.HostId;
@@ -26,9 +28,13 @@
 
     private final HostComponents components;
     private final StorageHost self;
+    private Set<String> requestKeys = HashSet.empty();
     private boolean retirementRequested;
     private RetirementStatus reportedStatus = RetirementStatus.NONE;
 
+    /** Only one write at a time, so that an older status does not replace a newer one. */
+    private boolean writeInProgress;
+
     RetirementListener(HostComponents components, StorageHost self) {
         this.components = components;
         this.self = self;
@@ -36,7 +42,10 @@
 
     @Override
     public void onListing(KeyValueService.Listing listing) {
-        listing.items().forEach(item -> onRequestChanged(item.key(), true));
+        Set<String> listedKeys = listing.items().map(KeyValueService.Item::key).toSet();
+        // A request may have been withdrawn while changes were missed.
+        requestKeys.removeAll(listedKeys).forEach(key -> onRequestChanged(key, false));
+        listedKeys.forEach(key -> onRequestChanged(key, true));
     }
 
     @Override
@@ -53,6 +62,7 @@
         if (!key.startsWith(prefix)) {
             return;
         }
+        requestKeys = requested ? requestKeys.add(key) : requestKeys.remove(key);
         HostId host = new HostId(key.substring(prefix.length()));
         LOG.event("request_changed").with("host", host).with("requested", requested).info();
         components.hostTable().setDraining(host, requested);
@@ -82,7 +92,9 @@
     }
 
     private void reportStatus() {
-        if (!retirementRequested || reportedStatus == RetirementStatus.COMPLETED) {
+        if (!retirementRequested
+                || writeInProgress
+                || reportedStatus == RetirementStatus.COMPLETED) {
             return;
         }
         boolean layoutKnown = components.layouts().current().isDefined();
@@ -93,7 +105,7 @@
         if (status == reportedStatus) {
             return;
         }
-        reportedStatus = status;
+        writeInProgress = true;
         LOG.event("status_changed").with("status", status).info();
         KeyValueService.Put put =
                 components
@@ -102,12 +114,17 @@
         components
                 .keyValue()
                 .write(Vector.empty(), Vector.of(put), Vector.empty())
-                .thenAccept(
-                        result -> {
-                            if (result.isLeft()) {
-                                reportedStatus = RetirementStatus.NONE;
-                                components.scheduler().after(RETRY_DELAY, this::reportStatus);
-                            }
-                        });
+                .thenAccept(result -> onStatusWritten(status, result.isRight()));
+    }
+
+    /** Reports again after a failure, or when the status has changed during the write. */
+    private void onStatusWritten(RetirementStatus status, boolean written) {
+        writeInProgress = false;
+        if (written) {
+            reportedStatus = status;
+            reportStatus();
+            return;
+        }
+        components.scheduler().after(RETRY_DELAY, this::reportStatus);
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/FailureDetector.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/FailureDetector.java
@@ -91,9 +91,9 @@
         boolean alive =
                 reply instanceof PeerReply.Alive(StoreId store) && store.equals(host.store());
         boolean otherStore = reply instanceof PeerReply.Alive && !alive;
-        int previousMisses = lock.withLock(() -> misses.getOrDefault(host.store(), 0));
-        int currentMisses = alive ? 0 : otherStore ? MISSES_TO_DECLARE_DEAD : previousMisses + 1;
-        lock.run(() -> misses.put(host.store(), currentMisses));
+        MissCount count = lock.withLock(() -> countReply(host.store(), alive, otherStore));
+        int previousMisses = count.previous();
+        int currentMisses = count.current();
         boolean wasSuspected = previousMisses >= MISSES_TO_SUSPECT;
         boolean isSuspected = currentMisses >= MISSES_TO_SUSPECT;
         if (wasSuspected != isSuspected) {
@@ -105,4 +105,14 @@
                     .info();
         }
     }
+
+    /** Consecutive missed pings of a host before and after a reply. */
+    private record MissCount(int previous, int current) {}
+
+    private MissCount countReply(StoreId store, boolean alive, boolean otherStore) {
+        int previous = misses.getOrDefault(store, 0);
+        int current = alive ? 0 : otherStore ? MISSES_TO_DECLARE_DEAD : previous + 1;
+        misses.put(store, current);
+        return new MissCount(previous, current);
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -43,7 +43,7 @@
     private final LayoutWriter writer;
     private final Scheduler scheduler;
     private final long startedAtNanos;
-    private boolean changeInProgress;
+    private volatile boolean changeInProgress;
 
     private LayoutManager(Builder builder) {
         this.self = builder.self;
@@ -149,7 +149,8 @@
         Option<Layout> initial = planner.initialLayout(hostTable.storageHosts(), SHARD_COUNT);
         if (initial.isDefined()) {
             changeInProgress = true;
-            writer.writeInitial(initial.get()).thenAccept(unused -> changeInProgress = false);
+            writer.writeInitial(initial.get())
+                    .whenComplete((unused, error) -> onChangesFinished(false, error));
         }
     }
 
@@ -173,12 +174,19 @@
         }
         preparedViews
                 .thenCompose(views -> publish(versioned, changes, views))
-                .thenAccept(this::onChangesFinished);
+                .whenComplete(this::onChangesFinished);
     }
 
-    /** Reconciles again at once after a layout was written, by this host or by another one. */
-    private void onChangesFinished(boolean layoutWritten) {
+    /**
+     * Reconciles again at once after a layout was written, by this host or by another one. After an
+     * unexpected error, the next periodic reconciliation follows.
+     */
+    private void onChangesFinished(Boolean layoutWritten, Throwable error) {
         changeInProgress = false;
+        if (error != null) {
+            LOG.event("change_failed").with("reason", error).warn();
+            return;
+        }
         if (layoutWritten) {
             reconcile();
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
@@ -146,8 +146,7 @@
         }
         for (Path segment : segments) {
             long ignoredBytes =
-                    SegmentFile.read(
-                            segment, payload -> onRecord.accept(RecordCodec.decode(payload)));
+                    SegmentFile.read(segment, payload -> replayRecord(segment, payload, onRecord));
             if (ignoredBytes > 0) {
                 LOG.event("segment_tail_ignored")
                         .with("segment", segment.getFileName())
@@ -158,6 +157,23 @@
         }
     }
 
+    /** Skips a record of a kind that this version does not know; other members hold it, too. */
+    private static void replayRecord(
+            Path segment, byte[] payload, Consumer<RecordCodec.LoggedRecord> onRecord) {
+        RecordCodec.LoggedRecord logged;
+        try {
+            logged = RecordCodec.decode(payload);
+        } catch (IllegalArgumentException e) {
+            LOG.event("record_malformed")
+                    .with("segment", segment.getFileName())
+                    .with("bytes", payload.length)
+                    .with("reason", e.getMessage())
+                    .warn();
+            return;
+        }
+        onRecord.accept(logged);
+    }
+
     private static long segmentNumber(Path segment) {
         return Long.parseLong(segment.getFileName().toString().substring(SEGMENT_PREFIX.length()));
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/PeerHandler.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import io.undertow.util.StatusCodes;
+import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
@@ -49,10 +50,25 @@
             exchange.endExchange();
             return;
         }
-        service.handle(request)
+        serve(request)
+                .exceptionally(error -> failedReply(request, error))
                 .thenAcceptAsync(reply -> send(exchange, reply), exchange.getIoThread());
     }
 
+    private CompletableFuture<PeerReply> serve(PeerRequest request) {
+        try {
+            return service.handle(request);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** Answers after an unexpected error, so that the sender does not wait for its timeout. */
+    private static PeerReply failedReply(PeerRequest request, Throwable error) {
+        LOG.event("request_failed").with("kind", request.label()).with("reason", error).warn();
+        return new PeerReply.Unavailable("unexpected error: " + error);
+    }
+
     private static void send(HttpServerExchange exchange, PeerReply reply) {
         ResponseWriter.sendBody(exchange, MessageCodec.encode(reply));
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
@@ -72,6 +72,9 @@
         if (struct.isSetEpochEnd()) {
             return new StoredRecord.EpochEnd(new Epoch(struct.getEpochEnd().getEpoch()));
         }
+        if (!struct.isSetCharge()) {
+            throw new IllegalArgumentException("Record has no known kind");
+        }
         ChargeStruct charge = struct.getCharge();
         return new StoredRecord.Charge(
                 new ProgramId(charge.getProgram()),
