--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/CallFixture.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.caller.http;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.io.IOException;
 import java.util.List;
@@ -35,10 +36,19 @@
         entry = new EntryFixture(2);
     }
 
-    /** Stops the entry host and its endpoints. */
+    /**
+     * Stops the entry host and its endpoints. Checks first that no call still counts as in flight,
+     * which would keep other calls from its endpoint for good.
+     */
     @AfterMethod(alwaysRun = true)
-    public void stop() {
+    public void stop() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + 3_000_000_000L;
+        while (entry.hasCallInFlight() && System.nanoTime() < deadlineNanos) {
+            Thread.sleep(10);
+        }
+        boolean inFlight = entry.hasCallInFlight();
         entry.close();
+        assertFalse(inFlight, "a call still counts as in flight");
     }
 
     /** Scripts the same response at both endpoints, because either may be selected. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -1,6 +1,8 @@
 package org.tamarackfold.caller.http;
 
 import io.undertow.Undertow;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.io.IOException;
@@ -18,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.endpoint.Selection;
+import org.tamarackfold.endpoint.SelectionRequest;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
@@ -137,6 +141,19 @@
         return endpoints.stream().mapToInt(endpoint -> endpoint.received().size()).sum();
     }
 
+    /** Returns whether a call counts as in flight at any endpoint. */
+    boolean hasCallInFlight() {
+        Set<EndpointId> ids = HashSet.ofAll(endpointTable.ids());
+        return ids.exists(id -> inFlight(id, ids) > 0);
+    }
+
+    private int inFlight(EndpointId id, Set<EndpointId> ids) {
+        SelectionRequest onlyHere = new SelectionRequest(SERVICE, Option.none(), ids.remove(id));
+        Selection selection = endpointTable.select(onlyHere, System.nanoTime());
+        endpointTable.release(id);
+        return ((Selection.Selected) selection).inFlight() - 1;
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout(3_000);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamCallsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamCallsTest.java
@@ -115,6 +115,16 @@
             assertFalse(response.endsWith("0\r\n\r\n"), response);
         }
 
+        /** Guards against aborting a complete stream that ends with an extra empty line. */
+        @Test
+        public void emptyLineAfterTheLastEventIsRelayed() throws IOException {
+            scriptAllEndpoints(
+                    new Step.Send(CHUNKED_HEAD), chunk(event(1) + event(2) + "\n"), LAST_CHUNK);
+            String response = entry.call("stream", "c1", "", "");
+            assertTrue(response.endsWith("\r\n0\r\n\r\n"), response);
+            assertTrue(response.contains("word2\n\n\n") || response.contains("1\r\n\n\r\n"));
+        }
+
         /** Guards against a stream that looks complete although its last event is incomplete. */
         @Test
         public void streamEndingInsideAnEventIsAborted() throws IOException {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
@@ -52,6 +52,7 @@
 
         void recordResponse(EndpointId id, double latencyMillis, long nowNanos) {
             table.recordObservation(id, new Observation.Answered(latencyMillis), nowNanos);
+            table.release(id);
         }
     }
 
@@ -90,6 +91,29 @@
         }
     }
 
+    /** Load pattern: streams that keep their slots long after the head of their response. */
+    public static final class LongStreams extends Fixture {
+        /** Guards against new calls at an endpoint whose slots are held by running streams. */
+        @Test
+        public void runningStreamsCountUntilTheirEnd() {
+            EndpointId busy = select("program-1", 0);
+            for (int i = 0; i < 20; i++) {
+                table.recordObservation(busy, new Observation.Answered(50), 0);
+                table.select(onlyAt(busy), 0);
+            }
+            assertNotEquals(select("program-1", 0), busy);
+            for (int i = 0; i < 21; i++) {
+                table.release(busy);
+            }
+            assertEquals(select("program-1", 0), busy);
+        }
+
+        private SelectionRequest onlyAt(EndpointId id) {
+            return new SelectionRequest(
+                    SERVICE, Option.none(), HashSet.ofAll(table.ids()).remove(id));
+        }
+    }
+
     /** An endpoint with a latency above the median of its service. */
     public static final class SlowEndpoint extends Fixture {
         private EndpointId slow;
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -63,7 +63,6 @@
     private SelectionRequest selectionRequest;
     private EndpointAttempt attempt;
     private long attemptStartedAtNanos;
-    private boolean headReceived;
     private ResponseRelay relay;
     private boolean finished;
 
@@ -178,7 +177,6 @@
     private void sendTo(EndpointRecord endpoint, int inFlight, long nowNanos) {
         attempt = new EndpointAttempt(endpoint, call, dependencies.headerNames(), this);
         attemptStartedAtNanos = nowNanos;
-        headReceived = false;
         LOG.event("dispatch")
                 .with("call", call.id())
                 .with("route", route.name())
@@ -210,8 +208,7 @@
                     case AttemptOutcome.NotSent() -> new Observation.Failed();
                     case AttemptOutcome.Unknown() -> new Observation.Failed();
                 });
-        EndpointRecord endpoint = attempt.endpoint();
-        attempt = null;
+        EndpointRecord endpoint = endAttempt();
         dependencies
                 .metrics()
                 .recordAttempt(endpoint.service().value(), outcome.getClass().getSimpleName());
@@ -246,7 +243,6 @@
 
     @Override
     public void onResponseHead(int status, HeaderMap headers) {
-        headReceived = true;
         double latencyMillis = (System.nanoTime() - attemptStartedAtNanos) / 1e6;
         reportObservation(new Observation.Answered(latencyMillis));
         dependencies.metrics().recordAttempt(attempt.endpoint().service().value(), "answered");
@@ -269,17 +265,15 @@
     public void onResponseBody(ByteBuffer bytes) {
         relay.onBody(bytes);
         if (relay.isMalformed()) {
-            EndpointRecord endpoint = attempt.endpoint();
             attempt.cancel();
-            attempt = null;
+            EndpointRecord endpoint = endAttempt();
             handleIncompleteResponse(endpoint, "response is longer than any valid one");
         }
     }
 
     @Override
     public void onResponseEnd() {
-        EndpointRecord endpoint = attempt.endpoint();
-        attempt = null;
+        EndpointRecord endpoint = endAttempt();
         if (finished) {
             return;
         }
@@ -326,8 +320,7 @@
 
     @Override
     public void onResponseFailure(String reason) {
-        EndpointRecord endpoint = attempt.endpoint();
-        attempt = null;
+        EndpointRecord endpoint = endAttempt();
         if (!finished) {
             handleIncompleteResponse(endpoint, reason);
         }
@@ -392,15 +385,21 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    /** Ends the attempt, which no longer uses a slot of its endpoint; returns that endpoint. */
+    private EndpointRecord endAttempt() {
+        EndpointRecord endpoint = attempt.endpoint();
+        attempt = null;
+        dependencies.endpoints().release(endpoint.id());
+        return endpoint;
+    }
+
     /** Cancels the attempt in progress; returns its endpoint, or null if there is none. */
     private EndpointRecord cancelAttempt() {
         if (attempt == null) {
             return null;
         }
-        EndpointRecord endpoint = attempt.endpoint();
         attempt.cancel();
-        reportObservation(new Observation.Inconclusive());
-        attempt = null;
+        EndpointRecord endpoint = endAttempt();
         if (isResponseStarted()) {
             turnState.recordDeliveredTokens(deliveredTokens(endpoint));
         }
@@ -411,14 +410,7 @@
         return relay != null && relay.started();
     }
 
-    /**
-     * Reports an observation to the endpoint table, at most once for each attempt: after the
-     * response head, the table no longer counts the call as in flight.
-     */
     private void reportObservation(Observation observation) {
-        if (headReceived && !(observation instanceof Observation.Answered)) {
-            return;
-        }
         dependencies
                 .endpoints()
                 .recordObservation(attempt.endpoint().id(), observation, System.nanoTime());
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -9,11 +9,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
+import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
 
 /** Accepts calls over HTTP: checks each request, reads its body and starts the call. */
 public final class CallHandler implements HttpHandler {
+    private static final StructuredLog LOG = StructuredLog.of("caller");
+
+    /** Route name in the metrics for requests that belong to no route. */
+    private static final String UNROUTED = "none";
+
     /** Retry-After delay while no release is known; a starting host reads it within a second. */
     private static final Duration NO_RELEASE_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -68,25 +74,24 @@
         Either<String, CallDescription> decoded = decoder.decode(exchange);
         if (decoded.isLeft()) {
             exchange.setPersistent(false);
-            LocalResponseEncoder.send(exchange, new LocalResponse.Malformed(decoded.getLeft()));
+            reject(exchange, new LocalResponse.Malformed(decoded.getLeft()));
             return;
         }
         CallDescription call = decoded.get();
         Option<Release> release = dependencies.releases().current();
         if (release.isEmpty()) {
-            LocalResponseEncoder.send(
-                    exchange, new LocalResponse.Refused(NO_RELEASE_RETRY_AFTER, "no release"));
+            reject(exchange, new LocalResponse.Refused(NO_RELEASE_RETRY_AFTER, "no release"));
             return;
         }
         Option<Route> route = release.get().routeFor(call.host(), call.path());
         if (route.isEmpty()) {
-            LocalResponseEncoder.send(exchange, new LocalResponse.NoRoute());
+            reject(exchange, new LocalResponse.NoRoute());
             return;
         }
         long bodyLimitBytes = release.get().limits().bodyBytes();
         if (exchange.getRequestContentLength() > bodyLimitBytes) {
             exchange.setPersistent(false);
-            LocalResponseEncoder.send(exchange, new LocalResponse.TooLarge());
+            reject(exchange, new LocalResponse.TooLarge());
             return;
         }
         exchange.setMaxEntitySize(bodyLimitBytes);
@@ -104,4 +109,17 @@
                                         SameThreadExecutor.INSTANCE,
                                         () -> activeCall.onRequestBodyFailure(error)));
     }
+
+    /** Answers a request that becomes no call, with a line and a count that explain it. */
+    private void reject(HttpServerExchange exchange, LocalResponse response) {
+        String callId = exchange.getRequestHeaders().getFirst(dependencies.headerNames().callId());
+        LOG.event("call_rejected")
+                .with("call", callId)
+                .with("path", exchange.getRequestURI())
+                .with("outcome", response.label())
+                .with("reason", response)
+                .info();
+        dependencies.metrics().recordCall(UNROUTED, response.label(), 0);
+        LocalResponseEncoder.send(exchange, response);
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
@@ -13,6 +13,9 @@
     /** More than any event with a few tokens has; bytes without end are no event. */
     private static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
+    /** A carriage return and a line feed. */
+    private static final int MAXIMUM_LINE_END_BYTES = 2;
+
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
     private boolean lineIsEmpty = true;
 
@@ -70,7 +73,7 @@
             if (next == '\n') {
                 // With only one or two bytes pending, no field precedes the empty line: it ends no
                 // event.
-                if (lineIsEmpty && pending.size() > 2) {
+                if (lineIsEmpty && pending.size() > MAXIMUM_LINE_END_BYTES) {
                     events.add(new Event(pending.toByteArray()));
                     pending.reset();
                 }
@@ -87,8 +90,16 @@
         return pending.size() > MAXIMUM_EVENT_BYTES;
     }
 
-    /** Returns whether the bytes consumed so far end with a complete event. */
+    /**
+     * Returns whether the bytes consumed so far end with a complete event, or with empty lines
+     * after it.
+     */
     boolean isAtEventBoundary() {
-        return pending.size() == 0;
+        return pending.size() == 0 || (lineIsEmpty && pending.size() <= MAXIMUM_LINE_END_BYTES);
+    }
+
+    /** Returns the bytes after the last complete event. */
+    byte[] trailingBytes() {
+        return pending.toByteArray();
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
@@ -115,6 +115,7 @@
     @Override
     public void finish() {
         startResponse();
+        writer.write(parser.trailingBytes());
         writer.end();
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -93,9 +93,7 @@
         return lock.withLock(states::size);
     }
 
-    /**
-     * Selects an endpoint and counts the call as in flight there until {@link #recordObservation}.
-     */
+    /** Selects an endpoint and counts the call as in flight there until {@link #release}. */
     public Selection select(SelectionRequest request, long nowNanos) {
         return lock.withLock(
                 () -> {
@@ -166,10 +164,9 @@
     }
 
     /**
-     * Records what an attempt showed about its endpoint, and stops counting the call as in flight
-     * there. Called once for each endpoint that {@link #select} returned: when the head of the
-     * response has arrived, or when the attempt has failed or was cancelled. Has no effect when the
-     * endpoint has been removed.
+     * Records what an attempt showed about its endpoint: when the head of the response has arrived,
+     * or when the attempt has failed or was cancelled before. Has no effect when the endpoint has
+     * been removed.
      */
     public void recordObservation(EndpointId id, Observation observation, long nowNanos) {
         lock.run(
@@ -178,11 +175,24 @@
                     if (state == null) {
                         return;
                     }
-                    state.decrementInFlight();
                     applyObservation(state, observation, nowNanos);
                 });
     }
 
+    /**
+     * Stops counting a call as in flight. Called once for each endpoint that {@link #select}
+     * returned, when the attempt has ended: a stream uses its slot until its last event.
+     */
+    public void release(EndpointId id) {
+        lock.run(
+                () -> {
+                    EndpointState state = states.get(id);
+                    if (state != null) {
+                        state.decrementInFlight();
+                    }
+                });
+    }
+
     private static void applyObservation(
             EndpointState state, Observation observation, long nowNanos) {
         switch (observation) {
