Allow a call that is answered just before a planned stop to keep its connection

Its log shows call c0 between event=stopping and the start of the drain: it was answered completely, with Connection: keep-alive, which is allowed; nothing was cut off.

Change: each call must be answered, as before; once a response closes its connection, all later ones must, and the last one does.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -233,16 +233,21 @@
         @Test
         public void requestsThatArriveDuringTheStopAreAnswered() throws Exception {
             requestStop();
+            // The first calls may arrive before the stop has begun; their connections stay open.
+            boolean draining = false;
             for (int i = 0; i < 8; i++) {
                 endpoint.respond("200 OK", ANSWER + "c" + i, "done");
                 try (Socket socket = connect()) {
                     send(socket, request("c" + i, "x"));
                     String response = readResponse(socket);
                     assertTrue(response.endsWith("done"), response);
-                    assertTrue(response.contains("Connection: close"), response);
+                    boolean closes = response.contains("Connection: close");
+                    assertTrue(closes || !draining, response);
+                    draining = closes;
                 }
                 Thread.sleep(80);
             }
+            assertTrue(draining, "no connection was closed during the stop");
         }
 
         /** Guards against a host that stays in the directory while it stops. */
