Log and count what endpoints state of their rate limits

Cause: neither logs nor metrics show whether an endpoint stated a limit, nor what a host knew of it at a dispatch, so that the hypotheses of the incident cannot be told apart.

Change: the limit is read from every response of the endpoint itself (not from a 421 or a late copy) and kept with its time; a response without it ends it, a malformed value changes nothing. Events rate_limit_changed and rate_limit_malformed; dispatch has limit_per_s and limit_age_ms; tamarackfold_limited_attempts_total. Selection does not use it.

Checked: RateLimitReaderTest, 8 new tests.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -18,6 +18,7 @@
 import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
+import org.tamarackfold.endpoint.StatedRateLimit;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.operator.Release;
@@ -169,22 +170,15 @@
         switch (selection) {
             case Selection.NoneEligible() ->
                     apply(retryPolicy.whenNoFurtherAttempt(), "no endpoint left");
-            case Selection.Selected(EndpointRecord endpoint, int inFlight) ->
-                    sendTo(endpoint, inFlight, nowNanos);
+            case Selection.Selected selected -> sendTo(selected, nowNanos);
         }
     }
 
-    private void sendTo(EndpointRecord endpoint, int inFlight, long nowNanos) {
-        attempt = new EndpointAttempt(endpoint, call, dependencies.headerNames(), this);
+    private void sendTo(Selection.Selected selected, long nowNanos) {
+        EndpointRecord endpoint = selected.endpoint();
+        attempt = new EndpointAttempt(endpoint, call, dependencies, this);
         attemptStartedAtNanos = nowNanos;
-        LOG.event("dispatch")
-                .with("call", call.id())
-                .with("route", route.name())
-                .with("release", release.version())
-                .with("endpoint", endpoint.id())
-                .with("in_flight", inFlight)
-                .with("left_ms", remainingTime().toMillis())
-                .info();
+        logDispatch(selected, nowNanos);
         String query = exchange.getQueryString();
         String pathAndQuery = query.isEmpty() ? call.path() : call.path() + '?' + query;
         HeaderMap headers =
@@ -193,6 +187,23 @@
         attempt.start(dependencies.client(), pathAndQuery, headers, body, remainingTime());
     }
 
+    private void logDispatch(Selection.Selected selected, long nowNanos) {
+        StructuredLog.Line line =
+                LOG.event("dispatch")
+                        .with("call", call.id())
+                        .with("route", route.name())
+                        .with("release", release.version())
+                        .with("endpoint", selected.endpoint().id())
+                        .with("in_flight", selected.inFlight())
+                        .with("left_ms", remainingTime().toMillis());
+        for (StatedRateLimit stated : selected.rateLimit()) {
+            line.with("limit_per_s", stated.limit())
+                    .with("limit_age_ms", stated.ageMillis(nowNanos));
+            dependencies.metrics().recordLimitedAttempt(selected.endpoint().service().value());
+        }
+        line.info();
+    }
+
     /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
     private Duration remainingTime() {
         return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime()));
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
@@ -20,6 +20,8 @@
  * @param affinityKey carries the affinity key, which calls that concern the same object share
  * @param expectedEndpoint carries the id of the only endpoint that may run the call
  * @param notRun set in the response of an endpoint that has not run the call
+ * @param rateLimit set in the responses of an endpoint that limits the calls a second that it takes
+ *     from all hosts together
  * @param reserved headers that only entry hosts may set; removed from the requests of callers
  */
 public record CallHeaderNames(
@@ -34,6 +36,7 @@
         HttpString affinityKey,
         HttpString expectedEndpoint,
         HttpString notRun,
+        HttpString rateLimit,
         Set<HttpString> reserved) {
     /** Header names of tamarackfold's own protocol; a platform adapter may use others. */
     public static final CallHeaderNames DEFAULT =
@@ -49,5 +52,6 @@
                     new HttpString("Affinity"),
                     new HttpString("Expected-Endpoint"),
                     new HttpString("Not-Run"),
+                    new HttpString("Rate-Limit"),
                     HashSet.of(new HttpString("Expected-Endpoint")));
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -49,6 +49,7 @@
     private final EndpointRecord endpoint;
     private final CallDescription call;
     private final CallHeaderNames headerNames;
+    private final RateLimitReader rateLimitReader;
     private final Listener listener;
     private ExchangeHandle handle;
 
@@ -60,11 +61,13 @@
     EndpointAttempt(
             EndpointRecord endpoint,
             CallDescription call,
-            CallHeaderNames headerNames,
+            CallDependencies dependencies,
             Listener listener) {
         this.endpoint = endpoint;
         this.call = call;
-        this.headerNames = headerNames;
+        this.headerNames = dependencies.headerNames();
+        this.rateLimitReader =
+                new RateLimitReader(headerNames.rateLimit(), dependencies.endpoints());
         this.listener = listener;
     }
 
@@ -119,11 +122,16 @@
             listener.onNoResponse(new AttemptOutcome.Unknown(), mismatch.get());
             return;
         }
+        boolean misdirected = head.status() == MISDIRECTED_STATUS;
+        if (!misdirected) {
+            // A misdirected call was answered by another endpoint, whose limit this is not.
+            rateLimitReader.read(endpoint.id(), call.id(), head.headers());
+        }
         if (head.headers().contains(headerNames.notRun())) {
             rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
             return;
         }
-        if (head.status() == MISDIRECTED_STATUS) {
+        if (misdirected) {
             rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.MISDIRECTED);
             return;
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -1,5 +1,7 @@
 package org.tamarackfold.endpoint;
 
+import io.vavr.control.Option;
+
 /** Mutable state of one endpoint, guarded by the lock of its table. */
 final class EndpointState {
     /** Weight of the newest sample in the exponentially weighted moving average. */
@@ -12,6 +14,7 @@
     private int consecutiveFailures;
     private long backoffEndNanos;
     private boolean backoffActive;
+    private Option<StatedRateLimit> rateLimit = Option.none();
 
     EndpointState(EndpointRecord record) {
         this.record = record;
@@ -21,16 +24,27 @@
         return record;
     }
 
-    /** Replaces the registration. After a restart, observed latency and failures are reset. */
+    /** Replaces the registration. After a restart, all that was observed before is reset. */
     void update(EndpointRecord next) {
         if (next.startedAtMillis() != record.startedAtMillis()) {
             consecutiveFailures = 0;
             backoffActive = false;
             latencyMillis = 0;
+            rateLimit = Option.none();
         }
         record = next;
     }
 
+    /** Returns the rate limit that the endpoint stated last; none when it states none. */
+    Option<StatedRateLimit> rateLimit() {
+        return rateLimit;
+    }
+
+    /** Replaces the rate limit by what the newest response states. */
+    void stateRateLimit(Option<RateLimit> limit, long nowNanos) {
+        rateLimit = limit.map(stated -> new StatedRateLimit(stated, nowNanos));
+    }
+
     int inFlight() {
         return inFlight;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -102,7 +102,8 @@
                         return new Selection.NoneEligible();
                     }
                     cheapest.incrementInFlight();
-                    return new Selection.Selected(cheapest.record(), cheapest.inFlight());
+                    return new Selection.Selected(
+                            cheapest.record(), cheapest.inFlight(), cheapest.rateLimit());
                 });
     }
 
@@ -179,6 +180,24 @@
                 });
     }
 
+    /**
+     * Records the rate limit that a response of an endpoint states, none when it states none.
+     * Returns the one before; for an endpoint that has been removed, the given one.
+     */
+    public Option<RateLimit> recordRateLimit(
+            EndpointId id, Option<RateLimit> limit, long nowNanos) {
+        return lock.withLock(
+                () -> {
+                    EndpointState state = states.get(id);
+                    if (state == null) {
+                        return limit;
+                    }
+                    Option<RateLimit> previous = state.rateLimit().map(StatedRateLimit::limit);
+                    state.stateRateLimit(limit, nowNanos);
+                    return previous;
+                });
+    }
+
     /**
      * Stops counting a call as in flight. Called once for each endpoint that {@link #select}
      * returned, when the attempt has ended: a stream uses its slot until its last event.
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
@@ -1,13 +1,17 @@
 package org.tamarackfold.endpoint;
 
+import io.vavr.control.Option;
+
 /** Result of selecting an endpoint for a call. */
 public sealed interface Selection {
     /**
      * An endpoint was selected; the call counts as in flight there.
      *
      * @param inFlight the calls that this host has in flight there, including this one
+     * @param rateLimit the limit that the endpoint stated last; none when it states none
      */
-    record Selected(EndpointRecord endpoint, int inFlight) implements Selection {}
+    record Selected(EndpointRecord endpoint, int inFlight, Option<StatedRateLimit> rateLimit)
+            implements Selection {}
 
     /** No endpoint is eligible: each one is draining or excluded, or none is registered. */
     record NoneEligible() implements Selection {}
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -13,6 +13,7 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter calls;
     private final Counter attempts;
+    private final Counter limitedAttempts;
     private final Counter keyValueCalls;
     private final Counter peerCalls;
     private final Histogram callLatency;
@@ -31,6 +32,12 @@
                         .help("Attempts at endpoints by service and outcome.")
                         .labelNames("service", "outcome")
                         .register(registry);
+        limitedAttempts =
+                Counter.builder()
+                        .name("tamarackfold_limited_attempts")
+                        .help("Attempts at endpoints that state a rate limit, by service.")
+                        .labelNames("service")
+                        .register(registry);
         keyValueCalls =
                 Counter.builder()
                         .name("tamarackfold_key_value_calls")
@@ -68,6 +75,11 @@
         attempts.labelValues(service, outcome).inc();
     }
 
+    /** Counts an attempt of a call at an endpoint of the given service that states a rate limit. */
+    public void recordLimitedAttempt(String service) {
+        limitedAttempts.labelValues(service).inc();
+    }
+
     /** Counts a finished or failed call to the key-value service. */
     public void recordKeyValueCall(String operation, String outcome) {
         keyValueCalls.labelValues(operation, outcome).inc();
