--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -63,17 +63,22 @@
      */
     EntryFixture(int endpointCount, long maximumBodyBytes, Duration routeTimeout)
             throws IOException {
+        this(startEndpoints(endpointCount), maximumBodyBytes, routeTimeout);
+    }
+
+    /** Starts an entry host that forwards calls to endpoints which other hosts may use as well. */
+    EntryFixture(List<ScriptedEndpoint> endpoints, long maximumBodyBytes, Duration routeTimeout)
+            throws IOException {
         runtime = IoRuntime.start(1);
         ReleaseHolder releases = new ReleaseHolder();
         releases.adoptIfNewer(release(maximumBodyBytes, routeTimeout));
-        for (int i = 0; i < endpointCount; i++) {
-            ScriptedEndpoint endpoint = new ScriptedEndpoint();
-            endpoints.add(endpoint);
+        for (int i = 0; i < endpoints.size(); i++) {
+            this.endpoints.add(endpoints.get(i));
             endpointTable.put(
                     new EndpointRecord(
                             new EndpointId("engine-" + i),
                             SERVICE,
-                            endpoint.address(),
+                            endpoints.get(i).address(),
                             new AvailabilityZone("a"),
                             4,
                             false,
@@ -98,6 +103,14 @@
         server.start();
     }
 
+    private static List<ScriptedEndpoint> startEndpoints(int count) throws IOException {
+        List<ScriptedEndpoint> started = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            started.add(new ScriptedEndpoint());
+        }
+        return started;
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
