Keep the calls of a program at its endpoint under load

Cause: with more than a fifth of the slots in use, calls left the endpoint that had their prompt for a less loaded one, which processed it again.

Ruled out: limits left unused (seven endpoints received what they stated).

Change: affinity weighs six tenths of the slots instead of a fifth; a limited endpoint that may receive a call counts 0.35 less, so that its permit is used once a quarter of the preferred slots are taken; the median latency is that of endpoints without a limit. runningStreamsCountUntilTheirEnd fills all 64 slots instead of 21: it guards the count of streams until their end, and 21 of 64 was the weight of affinity at that time.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -172,6 +172,8 @@
     }
 
     private int inFlight(EndpointId id, Set<EndpointId> ids) {
+        // A rate limit would leave no call with which to look.
+        endpointTable.recordRateLimit(id, Option.none(), System.nanoTime());
         SelectionRequest onlyHere = new SelectionRequest(SERVICE, Option.none(), ids.remove(id));
         Selection selection = endpointTable.select(onlyHere, System.nanoTime());
         endpointTable.release(id);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/RateLimitTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/RateLimitTest.java
@@ -12,6 +12,7 @@
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.EndpointTables;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
+import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -95,4 +96,90 @@
             }
         }
     }
+
+    /** An entry host, alone in its fleet, with two endpoints. */
+    public static final class SingleHost extends CallFixture {
+        private static final int CALLS = 20;
+
+        /**
+         * Calls that a limit of one a second admits within a moment: the first one, which learns
+         * it, and those of the slots of the last 1.5 s.
+         */
+        private static final int ADMITTED_AT_ONCE = 3;
+
+        private static String limited(String status, String headers, String limit) {
+            return ScriptedEndpoint.completeResponse(
+                    status, headers + "\r\nCall-Id: c1\r\nRate-Limit: " + limit, "");
+        }
+
+        private void scriptBoth(String response) {
+            for (int i = 0; i < CALLS; i++) {
+                scriptAllEndpoints(new Step.Send(response));
+            }
+        }
+
+        private void assertBothAdmitFew() {
+            for (ScriptedEndpoint endpoint : entry.endpoints) {
+                int received = endpoint.received().size();
+                assertTrue(received <= ADMITTED_AT_ONCE, received + " calls");
+            }
+        }
+
+        /** Guards against attempts that are not counted because their endpoint rejected them. */
+        @Test
+        public void retriesAfterRejectionsCount() throws IOException {
+            scriptBoth(limited("503 Busy", "Not-Run: 1", "1"));
+            for (int i = 0; i < CALLS; i++) {
+                entry.call("safe", "c1", "", "");
+            }
+            assertBothAdmitFew();
+        }
+
+        /** Guards against streams that are not counted. */
+        @Test
+        public void streamsCount() throws IOException {
+            scriptBoth(limited("200 OK", SIGNATURE, "1"));
+            for (int i = 0; i < CALLS; i++) {
+                entry.call("stream", "c1", "", "");
+            }
+            assertBothAdmitFew();
+        }
+
+        /**
+         * Guards against a call that waits for its deadline, or is answered as if it may have run,
+         * although no endpoint would take it.
+         */
+        @Test
+        public void aCallBeyondAllLimitsIsRefusedAtOnce() throws IOException {
+            scriptBoth(limited("200 OK", SIGNATURE, "1"));
+            for (int i = 0; i < CALLS; i++) {
+                entry.call("unsafe", "c1", "", "");
+            }
+            int received = entry.receivedCount();
+            long startedAtNanos = System.nanoTime();
+            String response = entry.call("unsafe", "c1", "", "");
+            long elapsedMillis = (System.nanoTime() - startedAtNanos) / 1_000_000;
+            if (entry.receivedCount() == received) {
+                assertTrue(response.startsWith("HTTP/1.1 503"), response);
+                assertTrue(response.contains("Retry-After: "), response);
+                assertTrue(elapsedMillis < 200, "refused after " + elapsedMillis + " ms");
+            }
+            assertBothAdmitFew();
+        }
+
+        /** Guards against refusing calls that an endpoint without a limit would take. */
+        @Test
+        public void anEndpointWithoutLimitTakesTheOtherCalls() throws IOException {
+            for (int i = 0; i < CALLS; i++) {
+                entry.endpoints.get(0).respond(new Step.Send(limited("200 OK", SIGNATURE, "0")));
+                entry.endpoints.get(1).respond("200 OK", SIGNATURE + "\r\nCall-Id: c1", "");
+            }
+            for (int i = 0; i < CALLS; i++) {
+                String response = entry.call("unsafe", "c1", "", "");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            }
+            int limitedCalls = entry.endpoints.get(0).received().size();
+            assertTrue(limitedCalls <= ADMITTED_AT_ONCE, limitedCalls + " calls");
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
@@ -24,6 +24,7 @@
     /** Six endpoints whose ids differ in few characters, as instance ids of a platform do. */
     abstract static class Fixture {
         static final ServiceName SERVICE = new ServiceName("models");
+        static final int SLOTS = 64;
         EndpointTable table;
 
         /** Registers the endpoints. */
@@ -37,7 +38,7 @@
                                 SERVICE,
                                 new Address("10.0.0." + (i + 1), 80),
                                 new AvailabilityZone("a"),
-                                64,
+                                SLOTS,
                                 false,
                                 1));
             }
@@ -72,6 +73,18 @@
             }
         }
 
+        /**
+         * Guards against programs that leave their endpoint because others are less loaded: each
+         * processes the whole prompt again, which loads all of them more.
+         */
+        @Test
+        public void sameKeyStaysWhileItsEndpointIsMoreLoaded() {
+            EndpointId first = select("program-1", 0);
+            for (int i = 0; i < SLOTS / 2; i++) {
+                assertEquals(select("program-1", 0), first);
+            }
+        }
+
         /**
          * Guards against a hash that assigns most programs to a few endpoints. Without mixing the
          * hash codes, two of six endpoints received nearly all programs.
@@ -96,12 +109,12 @@
         @Test
         public void runningStreamsCountUntilTheirEnd() {
             EndpointId busy = select("program-1", 0);
-            for (int i = 0; i < 20; i++) {
+            for (int i = 0; i < SLOTS; i++) {
                 table.recordObservation(busy, new Observation.Answered(50), 0);
                 table.select(onlyAt(busy), 0);
             }
             assertNotEquals(select("program-1", 0), busy);
-            for (int i = 0; i < 21; i++) {
+            for (int i = 0; i < SLOTS + 1; i++) {
                 table.release(busy);
             }
             assertEquals(select("program-1", 0), busy);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/RateLimitFleetTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/RateLimitFleetTest.java
@@ -176,6 +176,23 @@
             assertWithin(fleet, 3);
         }
 
+        /**
+         * Guards against a host that is cut off from the key-value service: the others take over
+         * its share, while it still serves callers by the view that it had.
+         */
+        @Test
+        public void aHostThatIsCutOffKeepsItsOldShareOnly() {
+            LimitedFleet fleet = new LimitedFleet(6, 3, 20, 7);
+            fleet.learn();
+            LimitedFleet.Host cut = fleet.hosts.get(0);
+            for (LimitedFleet.Host host : fleet.hosts) {
+                host.weights = host == cut ? host.weights : host.weights.remove(cut.id);
+            }
+            fleet.runFor(5 * MINUTE_MILLIS);
+            assertWithin(fleet, 3);
+            assertTrue(cut.sent < 1.2 * 150, cut.sent + " calls, its share is 150");
+        }
+
         /** Guards against a host that uses the slots of its pause when it wakes up. */
         @Test
         public void aHostThatWasFrozenSendsNoMore() {
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/EntryFleetTest.java
@@ -0,0 +1,95 @@
+package org.tamarackfold.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotSame;
+import static org.testng.Assert.assertSame;
+
+import org.tamarackfold.endpoint.HostShares;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.HostTable;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Load pattern: entry hosts of which some are active, before endpoints with rate limits. */
+public final class EntryFleetTest {
+    private EntryFleetTest() {}
+
+    /** A table of hosts. */
+    abstract static class Fixture {
+        static final double TOLERANCE = 1e-9;
+        final HostTable hostTable = new HostTable();
+
+        /** Removes the hosts of the test before. */
+        @BeforeMethod
+        public void clear() {
+            hostTable.clear();
+        }
+
+        void add(String zone, String host, int processorMillis) {
+            Address address = new Address("10.0.0.1", 80);
+            hostTable.put(
+                    host,
+                    new EntryHost(
+                            new HostId(host),
+                            address,
+                            new AvailabilityZone(zone),
+                            address,
+                            processorMillis));
+        }
+
+        double shareOf(String host) {
+            return new EntryFleet(new HostId(host), hostTable).shares().ownShare();
+        }
+    }
+
+    /** The shares of registered and starting hosts. */
+    public static final class Shares extends Fixture {
+        /** Guards against limits that are left to hosts which callers do not use. */
+        @Test
+        public void hostsOnStandbyHaveSmallShares() {
+            for (int i = 0; i < 3; i++) {
+                add("a", "large-" + i, 1_000);
+                add("a", "small-" + i, 100);
+            }
+            assertEquals(shareOf("large-0"), 1 / 3.3, TOLERANCE);
+            assertEquals(shareOf("small-0"), 0.1 / 3.3, TOLERANCE);
+        }
+
+        /** Guards against unequal shares in zones that are too small for hosts on standby. */
+        @Test
+        public void allHostsOfSmallZonesAreActive() {
+            add("a", "host-1", 750);
+            add("a", "host-2", 375);
+            add("b", "host-3", 750);
+            assertEquals(shareOf("host-2"), 1 / 3.0, TOLERANCE);
+        }
+
+        /** Guards against a starting or stopping host that may send nothing, or all of a limit. */
+        @Test
+        public void aHostThatIsNotRegisteredHasAShareToo() {
+            add("a", "host-1", 750);
+            add("b", "host-2", 750);
+            assertEquals(shareOf("host-3"), 1 / 3.0, TOLERANCE);
+        }
+    }
+
+    /** Changes of the registered hosts. */
+    public static final class Changes extends Fixture {
+        /** Guards against stale shares, and against computing them for each call. */
+        @Test
+        public void sharesAreComputedOnceForEachChange() {
+            EntryFleet fleet = new EntryFleet(new HostId("host-1"), hostTable);
+            add("a", "host-1", 750);
+            HostShares alone = fleet.shares();
+            assertSame(fleet.shares(), alone);
+            add("a", "host-2", 750);
+            assertNotSame(fleet.shares(), alone);
+            assertEquals(fleet.shares().ownShare(), 0.5, TOLERANCE);
+            hostTable.remove("host-2");
+            assertEquals(fleet.shares().ownShare(), 1.0, TOLERANCE);
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointCost.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointCost.java
@@ -11,10 +11,18 @@
     private static final double CROSS_ZONE_PENALTY = 0.1;
 
     /**
-     * Subtracted for the endpoint with the highest rendezvous hash for the affinity key; as much as
-     * a fifth of its slots.
+     * Subtracted for the endpoint that the affinity key prefers; as much as six tenths of its
+     * slots. A call elsewhere takes more of the capacity of the service, because its whole prompt
+     * is processed again: under load, programs that move to less loaded endpoints slow all of them.
      */
-    private static final double AFFINITY_BONUS = 0.2;
+    private static final double AFFINITY_BONUS = 0.6;
+
+    /**
+     * Subtracted for a rate-limited endpoint that may receive a call now: its slots are idle most
+     * of the time, and the permit expires. Calls leave a preferred endpoint for it once this host
+     * uses a quarter of the slots there.
+     */
+    private static final double PERMIT_BONUS = 0.35;
 
     /**
      * Added for an endpoint in back-off after a failure, so that every other eligible endpoint is
@@ -56,6 +64,8 @@
         }
         if (preferred) {
             cost -= AFFINITY_BONUS;
+        } else if (state.isLimited()) {
+            cost -= PERMIT_BONUS;
         }
         if (state.isInBackoff(nowNanos)) {
             cost += BACKOFF_PENALTY;
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.tamarackfold.id.AvailabilityZone;
@@ -145,21 +146,20 @@
             AffinityPreference preference,
             SelectionRequest request,
             long nowNanos) {
+        double medianLatencyMillis = medianLatencyMillis(request.service());
+        Predicate<EndpointState> usable = state -> !state.isInBackoff(nowNanos);
         Option<EndpointState> preferred =
-                request.affinityKey()
-                        .flatMap(
-                                key ->
-                                        preference.preferred(
-                                                key, open, state -> !state.isInBackoff(nowNanos)));
-        EndpointState cheapest = cheapest(open, preferred, nowNanos);
+                request.affinityKey().flatMap(key -> preference.preferred(key, open, usable));
+        EndpointState cheapest = cheapest(open, preferred, medianLatencyMillis, nowNanos);
         cheapest.countSentCall();
         return new Selection.Selected(cheapest.record(), cheapest.inFlight(), cheapest.rateLimit());
     }
 
     private EndpointState cheapest(
-            List<EndpointState> open, Option<EndpointState> preferred, long nowNanos) {
-        ServiceName service = open.getFirst().record().service();
-        double medianLatencyMillis = medianLatencyMillis(service);
+            List<EndpointState> open,
+            Option<EndpointState> preferred,
+            double medianLatencyMillis,
+            long nowNanos) {
         EndpointState cheapest = null;
         double lowestCost = Double.POSITIVE_INFINITY;
         for (EndpointState state : open) {
@@ -190,14 +190,21 @@
                 && !request.excluded().contains(record.id());
     }
 
+    /**
+     * Returns the median latency of a service, 0 without samples. Endpoints at a rate limit count
+     * only if all have one: they are nearly idle, so that others would seem slow beside them.
+     */
     private double medianLatencyMillis(ServiceName service) {
-        double[] sorted =
+        List<EndpointState> sampled =
                 states.values().stream()
                         .filter(state -> state.record().service().equals(service))
-                        .mapToDouble(EndpointState::latencyMillis)
-                        .filter(millis -> millis > 0)
-                        .sorted()
-                        .toArray();
+                        .filter(state -> state.latencyMillis() > 0)
+                        .toList();
+        List<EndpointState> unlimited =
+                sampled.stream().filter(state -> !state.isLimited()).toList();
+        double[] sorted =
+                (unlimited.isEmpty() ? sampled : unlimited)
+                        .stream().mapToDouble(EndpointState::latencyMillis).sorted().toArray();
         return sorted.length == 0 ? 0 : sorted[sorted.length / 2];
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/HostShares.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/HostShares.java
@@ -35,7 +35,7 @@
     }
 
     /** Returns the part of all slots that belongs to this host, above 0 and up to 1. */
-    double ownShare() {
+    public double ownShare() {
         return ownShare;
     }
 
