Let the programs of AffinityPreferenceTest take their turns in random order

Cause: with turns in a fixed order, the test passed without the preference that it guards: each permit went to the same program.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/AffinityPreferenceTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/AffinityPreferenceTest.java
@@ -35,6 +35,7 @@
         private static final int TURN_INTERVAL_MILLIS = 50;
 
         private final List<EndpointId> ids = new ArrayList<>();
+        private final Random random = new Random(7);
         private EndpointTable table;
         private long nowMillis;
 
@@ -79,13 +80,11 @@
         @Test
         public void aProgramStaysAtFewEndpoints() {
             Map<String, Set<String>> visited = new HashMap<>();
-            for (int turn = 0; turn < 40; turn++) {
-                for (int program = 0; program < PROGRAMS; program++) {
-                    EndpointId id = takeTurn("program-" + program);
-                    if (turn >= 5) {
-                        visited.computeIfAbsent("program-" + program, key -> new TreeSet<>())
-                                .add(id.value());
-                    }
+            for (int turn = 0; turn < 40 * PROGRAMS; turn++) {
+                String program = "program-" + random.nextInt(PROGRAMS);
+                EndpointId id = takeTurn(program);
+                if (turn >= 5 * PROGRAMS) {
+                    visited.computeIfAbsent(program, key -> new TreeSet<>()).add(id.value());
                 }
             }
             double mean = visited.values().stream().mapToInt(Set::size).average().orElseThrow();
