Give entry hosts on standby a hundredth of a share of rate limits

Cause: in the large deployment 18 of 83 entry hosts have callers; the other 65 held a quarter of each limit with a tenth of a share each. In a trial with strong affinity, endpoints that stated 50 calls a second together received 12; how much of that the shares explain was not measured apart.

Change: weight 0.01 for hosts on standby, which a stale directory response may still name.

--- a/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
@@ -17,8 +17,11 @@
 public final class EntryFleet implements FleetView {
     private static final double ACTIVE_WEIGHT = 1;
 
-    /** Callers may still use a host on standby: those of a stale directory response. */
-    private static final double STANDBY_WEIGHT = 0.1;
+    /**
+     * Callers may still use a host on standby: those of a stale directory response. Small, because
+     * several hosts stand by for each active one.
+     */
+    private static final double STANDBY_WEIGHT = 0.01;
 
     private final HostId self;
     private final HostTable hostTable;
