Move the log lines and metrics of a call out of ActiveCall

Cause: ActiveCall had grown to 480 lines, of which the lines that explain a call were a sixth.

Change: CallLog has them; behaviour and lines stay. One comment is reworded.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -19,9 +19,7 @@
 import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
-import org.tamarackfold.endpoint.StatedRateLimit;
 import org.tamarackfold.id.ServiceName;
-import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
@@ -35,8 +33,6 @@
  * connection.
  */
 final class ActiveCall implements EndpointAttempt.Listener {
-    private static final StructuredLog LOG = StructuredLog.of("caller");
-
     /** Timeout of a call that names none; a shorter timeout of its route takes precedence. */
     private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(5);
 
@@ -52,6 +48,7 @@
     private final RetryPolicy retryPolicy;
     private final TurnState turnState;
     private final RetryDelays retryDelays;
+    private final CallLog callLog;
 
     private byte[] body;
     private long deadlineNanos;
@@ -79,6 +76,7 @@
         this.retryPolicy = new RetryPolicy(route);
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
+        this.callLog = new CallLog(dependencies.metrics(), call, route.name(), release.version());
     }
 
     void onRequestBodyFailure(IOException error) {
@@ -192,7 +190,7 @@
         EndpointRecord endpoint = selected.endpoint();
         attempt = new EndpointAttempt(endpoint, call, dependencies, this);
         attemptStartedAtNanos = nowNanos;
-        logDispatch(selected, nowNanos);
+        callLog.dispatched(selected, remainingTime(), nowNanos);
         String query = exchange.getQueryString();
         String pathAndQuery = query.isEmpty() ? call.path() : call.path() + '?' + query;
         HeaderMap headers =
@@ -201,24 +199,6 @@
         attempt.start(dependencies.client(), pathAndQuery, headers, body, remainingTime());
     }
 
-    private void logDispatch(Selection.Selected selected, long nowNanos) {
-        StructuredLog.Line line =
-                LOG.event("dispatch")
-                        .with("call", call.id())
-                        .with("route", route.name())
-                        .with("release", release.version())
-                        .with("endpoint", selected.endpoint().id())
-                        .with("in_flight", selected.inFlight())
-                        .with("left_ms", remainingTime().toMillis());
-        call.turn().forEach(turn -> line.with("program", turn.program()));
-        for (StatedRateLimit stated : selected.rateLimit()) {
-            line.with("limit_per_s", stated.limit())
-                    .with("limit_age_ms", stated.ageMillis(nowNanos));
-            dependencies.metrics().recordLimitedAttempt(selected.endpoint().service().value());
-        }
-        line.info();
-    }
-
     /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
     private Duration remainingTime() {
         return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime()));
@@ -242,12 +222,7 @@
             return;
         }
         selectionRequest = selectionRequest.excluding(endpoint.id());
-        LOG.event("attempt_failed")
-                .with("call", call.id())
-                .with("endpoint", endpoint.id())
-                .with("outcome", outcome)
-                .with("reason", reason)
-                .info();
+        callLog.attemptFailed(endpoint.id(), outcome, reason);
         apply(retryPolicy.after(outcome), reason);
     }
 
@@ -351,12 +326,7 @@
     }
 
     private void handleIncompleteResponse(EndpointRecord endpoint, String reason) {
-        LOG.event("answer_broken")
-                .with("call", call.id())
-                .with("endpoint", endpoint.id())
-                .with("reason", reason)
-                .with("started", relay.started())
-                .info();
+        callLog.responseBroken(endpoint.id(), reason, relay.started());
         if (relay.started()) {
             turnState.recordDeliveredTokens(deliveredTokens(endpoint));
             relay.abort();
@@ -458,20 +428,11 @@
             disconnectDetector.stop();
         }
         turnState.settle();
-        long durationNanos = System.nanoTime() - arrivedAtNanos;
-        dependencies.metrics().recordCall(route.name().value(), outcome, durationNanos / 1e9);
-        StructuredLog.Line line =
-                LOG.event("call_end")
-                        .with("call", call.id())
-                        .with("route", route.name())
-                        .with("release", release.version())
-                        .with("outcome", outcome)
-                        .with("reason", reason)
-                        .with("attempts", retryPolicy.possibleRuns())
-                        .with("ms", TimeUnit.NANOSECONDS.toMillis(durationNanos));
-        if (endpoint != null) {
-            line.with("endpoint", endpoint.id());
-        }
-        line.info();
+        callLog.ended(
+                outcome,
+                reason,
+                retryPolicy.possibleRuns(),
+                System.nanoTime() - arrivedAtNanos,
+                Option.of(endpoint).map(EndpointRecord::id));
     }
 }
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -0,0 +1,95 @@
+package org.tamarackfold.caller.http;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.endpoint.Selection;
+import org.tamarackfold.endpoint.StatedRateLimit;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.ReleaseVersion;
+import org.tamarackfold.id.RouteName;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.metrics.HostMetrics;
+
+/** Records the decisions on one call and its end in the log and in the metrics. */
+final class CallLog {
+    private static final StructuredLog LOG = StructuredLog.of("caller");
+
+    private final HostMetrics metrics;
+    private final CallDescription call;
+    private final RouteName route;
+    private final ReleaseVersion release;
+
+    CallLog(HostMetrics metrics, CallDescription call, RouteName route, ReleaseVersion release) {
+        this.metrics = metrics;
+        this.call = call;
+        this.route = route;
+        this.release = release;
+    }
+
+    /** Records that the call is sent to the selected endpoint. */
+    void dispatched(Selection.Selected selected, Duration remainingTime, long nowNanos) {
+        StructuredLog.Line line =
+                LOG.event("dispatch")
+                        .with("call", call.id())
+                        .with("route", route)
+                        .with("release", release)
+                        .with("endpoint", selected.endpoint().id())
+                        .with("in_flight", selected.inFlight())
+                        .with("left_ms", remainingTime.toMillis());
+        call.turn().forEach(turn -> line.with("program", turn.program()));
+        for (StatedRateLimit stated : selected.rateLimit()) {
+            line.with("limit_per_s", stated.limit())
+                    .with("limit_age_ms", stated.ageMillis(nowNanos));
+            metrics.recordLimitedAttempt(selected.endpoint().service().value());
+        }
+        line.info();
+    }
+
+    /** Records that an attempt ended without a response to relay. */
+    void attemptFailed(EndpointId endpoint, AttemptOutcome outcome, String reason) {
+        LOG.event("attempt_failed")
+                .with("call", call.id())
+                .with("endpoint", endpoint)
+                .with("outcome", outcome)
+                .with("reason", reason)
+                .info();
+    }
+
+    /** Records that a response ended before it was complete. */
+    void responseBroken(EndpointId endpoint, String reason, boolean started) {
+        LOG.event("answer_broken")
+                .with("call", call.id())
+                .with("endpoint", endpoint)
+                .with("reason", reason)
+                .with("started", started)
+                .info();
+    }
+
+    /**
+     * Records the end of the call.
+     *
+     * @param endpoint the endpoint whose response ended it; none if there was none
+     */
+    void ended(
+            String outcome,
+            String reason,
+            int attempts,
+            long durationNanos,
+            Option<EndpointId> endpoint) {
+        metrics.recordCall(route.value(), outcome, durationNanos / 1e9);
+        StructuredLog.Line line =
+                LOG.event("call_end")
+                        .with("call", call.id())
+                        .with("route", route)
+                        .with("release", release)
+                        .with("outcome", outcome)
+                        .with("reason", reason)
+                        .with("attempts", attempts)
+                        .with("ms", TimeUnit.NANOSECONDS.toMillis(durationNanos));
+        endpoint.forEach(id -> line.with("endpoint", id));
+        line.info();
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/AffinityPreference.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/AffinityPreference.java
@@ -8,8 +8,8 @@
 /**
  * Chooses the endpoint that the calls of one affinity key prefer, by weighted rendezvous hashing. A
  * rate-limited endpoint is preferred by as many keys as its limit lets this host serve there.
- * Otherwise most of their calls would have to go elsewhere, and with several limited endpoints to
- * ever others, each of which would process the whole prompt again.
+ * Otherwise most of their calls would go elsewhere, and to a different endpoint each time when
+ * several are limited; each of those would process the whole prompt again.
  */
 final class AffinityPreference {
     private final List<EndpointState> eligible;
