--- a/tamarackfold/src/main/java/org/tamarackfold/node/package-info.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/package-info.java
@@ -1,2 +1,5 @@
-/** Selection of the entry hosts that callers connect to. Subpackage runtime assembles hosts. */
+/**
+ * Selection of the entry hosts that callers connect to, and their shares of rate limits. Subpackage
+ * runtime assembles hosts.
+ */
 package org.tamarackfold.node;
