--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -17,6 +18,8 @@
     private final Counter rateLimitedSelections;
     private final Counter keyValueCalls;
     private final Counter peerCalls;
+    private final Gauge openPeerRequests;
+    private final Histogram eventLoopDelay;
     private final Histogram callLatency;
 
     /** Creates and registers the metrics; each instance has a registry of its own. */
@@ -58,6 +61,18 @@
                         .help("Calls to other hosts by operation and outcome.")
                         .labelNames("operation", "outcome")
                         .register(registry);
+        openPeerRequests =
+                Gauge.builder()
+                        .name("tamarackfold_open_peer_requests")
+                        .help("Requests to other hosts that wait for a reply.")
+                        .register(registry);
+        eventLoopDelay =
+                Histogram.builder()
+                        .name("tamarackfold_event_loop_delay_seconds")
+                        .help("How late a periodic timer runs on the I/O thread.")
+                        .classicOnly()
+                        .classicUpperBounds(.005, .02, .05, .1, .2, .4, .8, 1.6, 3.2)
+                        .register(registry);
         callLatency =
                 Histogram.builder()
                         .name("tamarackfold_call_seconds")
@@ -98,11 +113,27 @@
         keyValueCalls.labelValues(operation, outcome).inc();
     }
 
+    /** Counts a request that is sent to another host, until {@link #recordPeerCall}. */
+    public void recordPeerCallSent() {
+        openPeerRequests.inc();
+    }
+
     /** Counts a finished or failed request to another host. */
     public void recordPeerCall(String operation, String outcome) {
+        openPeerRequests.dec();
         peerCalls.labelValues(operation, outcome).inc();
     }
 
+    /** Returns the number of requests to other hosts that wait for a reply. */
+    public int openPeerRequests() {
+        return (int) openPeerRequests.get();
+    }
+
+    /** Records how late a timer ran on the I/O thread. */
+    public void recordEventLoopDelay(double seconds) {
+        eventLoopDelay.observe(seconds);
+    }
+
     /** Returns all metrics in the Prometheus text format, or a comment when collecting fails. */
     public byte[] exposition() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
@@ -58,6 +58,7 @@
         this.scheduler = new WorkerScheduler(runtime);
         this.keyValue = adapter.keyValueService(client, settings.keyValue(), metrics);
         this.channel = new HttpPeerChannel(client, metrics);
+        new EventLoopMonitor(scheduler, metrics).start();
         this.random = new Random(System.nanoTime() ^ settings.host().hashCode());
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/http/HttpPeerChannel.java
@@ -50,6 +50,7 @@
                         .connectTimeout(Durations.min(timeout, CONNECT_TIMEOUT))
                         .responseTimeout(timeout)
                         .build();
+        metrics.recordPeerCallSent();
         client.send(
                 httpRequest,
                 new ResponseCollector(
