Bound the requests in flight between hosts

What callers saw: after all hosts had lost power during a burst, no call of a program was served any more.

Cause: requests that timed out at a storage host were sent again while it still worked on the copies that nobody waited for. The retries kept the overload up, and their connections used up the file descriptors. On storage hosts up to 1,638 requests were open to other hosts and timers were 2 s late.

Ruled out: the layout (complete 0.1 s after the start) and the registrations.

Change: LimitedPeerChannel keeps the requests in flight to each host within a limit that follows its replies; accepted work goes before new work, and new work that cannot be served is refused at once. A reservation that reached no storage host is not settled. direct_send_failed is logged once a relay period.

Why this works: with the work in flight bounded, the replies come within the timeouts, so that hardly any work is repeated.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -17,7 +17,7 @@
     private final Route route;
     private byte[] bodyWithHistory = {};
     private byte[] parentHistory = {};
-    private boolean reservationRequested;
+    private volatile boolean reservationRequested;
     private boolean settled;
 
     /** Tokens of the events passed to the response writer; 0 until the first one. */
@@ -87,6 +87,10 @@
             case TurnHistory.Reservation.Exhausted() -> new Preparation.BudgetSpent();
             case TurnHistory.Reservation.Unavailable(String reason) ->
                     new Preparation.Unavailable("reservation: " + reason);
+            case TurnHistory.Reservation.Refused(String reason) -> {
+                reservationRequested = false;
+                yield new Preparation.Unavailable("reservation: " + reason);
+            }
             case TurnHistory.Reservation.Granted() -> fromLookup(lookup);
         };
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.peer.HostTable;
 import org.tamarackfold.peer.LayoutHolder;
+import org.tamarackfold.peer.LimitedPeerChannel;
 import org.tamarackfold.peer.PeerChannel;
 import org.tamarackfold.peer.SharedStateCodec;
 import org.tamarackfold.peer.SharedStateListener;
@@ -57,7 +58,7 @@
         this.client = new PooledHttpClient(runtime, DEFAULT_IDLE_TIMEOUT.toNanos());
         this.scheduler = new WorkerScheduler(runtime);
         this.keyValue = adapter.keyValueService(client, settings.keyValue(), metrics);
-        this.channel = new HttpPeerChannel(client, metrics);
+        this.channel = new LimitedPeerChannel(new HttpPeerChannel(client, metrics), scheduler);
         new EventLoopMonitor(scheduler, metrics).start();
         this.random = new Random(System.nanoTime() ^ settings.host().hashCode());
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ProgramId;
@@ -42,21 +43,50 @@
         this.scheduler = scheduler;
     }
 
-    /** A request that is retried; each attempt chooses its shard in the latest layout. */
+    /**
+     * A request that is retried; each attempt chooses its shard in the latest layout.
+     *
+     * @param endsWhenOverloaded whether it ends when the primary is overloaded: new work that
+     *     cannot be served is refused at once, whereas accepted work is completed
+     * @param mayHaveArrived set when an attempt may have reached a storage host
+     */
     private record PendingRequest(
             Function<Layout, ShardId> shard,
             Function<ShardId, PeerRequest> request,
+            boolean endsWhenOverloaded,
             long deadlineNanos,
+            AtomicBoolean mayHaveArrived,
             CompletableFuture<PeerReply> result) {}
 
+    private CompletableFuture<PeerReply> sendNewWork(
+            Function<Layout, ShardId> shard,
+            Function<ShardId, PeerRequest> request,
+            Duration timeout) {
+        return sendToPrimary(shard, request, true, timeout);
+    }
+
+    private CompletableFuture<PeerReply> sendAcceptedWork(
+            Function<Layout, ShardId> shard,
+            Function<ShardId, PeerRequest> request,
+            Duration timeout) {
+        return sendToPrimary(shard, request, false, timeout);
+    }
+
     private CompletableFuture<PeerReply> sendToPrimary(
             Function<Layout, ShardId> shard,
             Function<ShardId, PeerRequest> request,
+            boolean endsWhenOverloaded,
             Duration timeout) {
         CompletableFuture<PeerReply> result = new CompletableFuture<>();
+        long deadlineNanos = scheduler.nanoTime() + timeout.toNanos();
         attempt(
                 new PendingRequest(
-                        shard, request, scheduler.nanoTime() + timeout.toNanos(), result));
+                        shard,
+                        request,
+                        endsWhenOverloaded,
+                        deadlineNanos,
+                        new AtomicBoolean(),
+                        result));
         return result;
     }
 
@@ -83,6 +113,9 @@
     }
 
     private void onReply(PendingRequest pending, PeerReply reply) {
+        if (!(reply instanceof PeerReply.Overloaded)) {
+            pending.mayHaveArrived().set(true);
+        }
         switch (reply) {
             case PeerReply.NotPrimary(),
                     PeerReply.Collected _,
@@ -90,6 +123,7 @@
                     PeerReply.Unreachable(String _),
                     PeerReply.Stale _ ->
                     retry(pending);
+            case PeerReply.Overloaded(String reason) -> onOverloaded(pending, reason);
             case PeerReply.Done(),
                     PeerReply.Exhausted(),
                     PeerReply.Outstanding(),
@@ -100,6 +134,18 @@
         }
     }
 
+    private void onOverloaded(PendingRequest pending, String reason) {
+        if (!pending.endsWhenOverloaded()) {
+            retry(pending);
+            return;
+        }
+        pending.result()
+                .complete(
+                        pending.mayHaveArrived().get()
+                                ? new PeerReply.Unavailable("storage host overloaded, " + reason)
+                                : new PeerReply.Overloaded(reason));
+    }
+
     private void retry(PendingRequest pending) {
         scheduler.after(RETRY_DELAY, () -> attempt(pending));
     }
@@ -107,7 +153,7 @@
     @Override
     public CompletableFuture<Reservation> reserve(
             ProgramId program, CallId turn, long tokens, long budgetTokens, Duration timeout) {
-        return sendToPrimary(
+        return sendNewWork(
                         layout -> layout.shardOf(program),
                         shard ->
                                 new PeerRequest.Reserve(shard, program, turn, tokens, budgetTokens),
@@ -121,13 +167,15 @@
             case PeerReply.Exhausted() -> new Reservation.Exhausted();
             case PeerReply.Outstanding() ->
                     new Reservation.Unavailable("unfinished turns hold the rest of the budget");
+            case PeerReply.Overloaded(String reason) ->
+                    new Reservation.Refused("storage host overloaded, " + reason);
             default -> new Reservation.Unavailable(String.valueOf(reply));
         };
     }
 
     @Override
     public void settle(ProgramId program, CallId turn, long tokens) {
-        sendToPrimary(
+        sendAcceptedWork(
                         layout -> layout.shardOf(program),
                         shard -> new PeerRequest.Settle(shard, program, turn, tokens),
                         SETTLE_TIMEOUT)
@@ -157,7 +205,7 @@
 
     private CompletableFuture<Lookup> lookUpInShard(
             Function<Layout, ShardId> shard, CallId turn, Duration timeout) {
-        return sendToPrimary(shard, id -> new PeerRequest.LookUp(id, turn), timeout)
+        return sendNewWork(shard, id -> new PeerRequest.LookUp(id, turn), timeout)
                 .thenApply(HistoryClient::toLookup);
     }
 
@@ -209,7 +257,7 @@
     @Override
     public CompletableFuture<Boolean> store(
             ProgramId program, CallId turn, byte[] text, Duration retention, Duration timeout) {
-        return sendToPrimary(
+        return sendAcceptedWork(
                         layout -> layout.shardOf(program),
                         shard -> new PeerRequest.Store(shard, turn, text, retention),
                         timeout)
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
@@ -53,6 +53,14 @@
      */
     record Unreachable(String reason) implements PeerReply {}
 
+    /**
+     * The request was not sent, because the receiver already has as many requests as it can answer
+     * in time; produced by the sender.
+     *
+     * @param reason the state of the queue, for logs
+     */
+    record Overloaded(String reason) implements PeerReply {}
+
     /**
      * One batch of the records of a shard, for a host that takes over the shard.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/StorageRequestSender.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/StorageRequestSender.java
@@ -53,7 +53,7 @@
     CompletableFuture<PeerReply> send(Address address, PeerRequest request, Duration timeout) {
         Vector<EntryHost> otherEntryHosts =
                 hostTable.entryHosts().reject(entry -> entry.host().equals(self));
-        if (otherEntryHosts.isEmpty() || !usesRelay(address)) {
+        if (!usesRelay(address) || otherEntryHosts.isEmpty()) {
             return channel.send(address, request, timeout)
                     .thenApply(reply -> recordReply(address, reply));
         }
@@ -79,8 +79,14 @@
     private PeerReply recordReply(Address address, PeerReply reply) {
         if (reply instanceof PeerReply.Unreachable(String reason)) {
             long untilNanos = scheduler.nanoTime() + RELAY_PERIOD.toNanos();
-            lock.run(() -> relayUntilNanos.put(address, untilNanos));
-            LOG.event("direct_send_failed").with("address", address).with("reason", reason).info();
+            boolean alreadyFailed =
+                    lock.withLock(() -> relayUntilNanos.put(address, untilNanos) != null);
+            if (!alreadyFailed) {
+                LOG.event("direct_send_failed")
+                        .with("address", address)
+                        .with("reason", reason)
+                        .info();
+            }
         }
         return reply;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
@@ -24,6 +24,14 @@
          * @param reason the cause, for logs
          */
         record Unavailable(String reason) implements Reservation {}
+
+        /**
+         * The storage hosts are overloaded, and no request has reached them: there is nothing to
+         * settle.
+         *
+         * @param reason the cause, for the log
+         */
+        record Refused(String reason) implements Reservation {}
     }
 
     /** The result of a lookup of the history of a turn. */
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -170,7 +170,10 @@
                 struct.getBatch());
     }
 
-    /** Encodes a reply. {@link PeerReply.Unreachable} decodes as {@link PeerReply.Unavailable}. */
+    /**
+     * Encodes a reply. {@link PeerReply.Unreachable} and {@link PeerReply.Overloaded} decode as
+     * {@link PeerReply.Unavailable}.
+     */
     public static byte[] encode(PeerReply reply) {
         return ThriftBytes.encode(
                 switch (reply) {
@@ -182,8 +185,9 @@
                     case PeerReply.NotPrimary() -> ReplyStruct.notPrimary(new EmptyStruct());
                     case PeerReply.Stale(Epoch epoch) -> ReplyStruct.staleEpoch(epoch.value());
                     case PeerReply.Unavailable(String reason) -> ReplyStruct.unavailable(reason);
-                    // The wire format has no reply for an unreachable host.
+                    // The wire format has no replies for requests that did not reach a host.
                     case PeerReply.Unreachable(String reason) -> ReplyStruct.unavailable(reason);
+                    case PeerReply.Overloaded(String reason) -> ReplyStruct.unavailable(reason);
                     case PeerReply.Alive(StoreId store) -> ReplyStruct.storeId(store.value());
                     case PeerReply.Collected(Seq<StoredRecord> records, int batches) ->
                             ReplyStruct.collected(
--- a/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -9,5 +9,6 @@
     HOSTS,
     LAYOUT,
     ENDPOINTS,
-    SHARDS
+    SHARDS,
+    PEER_QUEUES
 }
