Log the calls that are cut when an entry host stops

The line stopped gave only the number of calls in progress. call_cut names each of them, whether it was sent to an endpoint, and its age; dispatch and call_end state how long the host has been stopping. A counter sums both up.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -19,6 +19,7 @@
 import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
+import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
@@ -40,6 +41,7 @@
     private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final CallDependencies dependencies;
+    private final ActiveCalls activeCalls;
     private final HttpServerExchange exchange;
     private final CallDescription call;
     private final Release release;
@@ -55,19 +57,21 @@
     private XnioIoThread.Key deadlineTimer;
     private DisconnectDetector disconnectDetector;
     private SelectionRequest selectionRequest;
-    private EndpointAttempt attempt;
+    private volatile EndpointAttempt attempt;
     private long attemptStartedAtNanos;
     private ResponseRelay relay;
     private boolean finished;
 
     ActiveCall(
             CallDependencies dependencies,
+            ActiveCalls activeCalls,
             HttpServerExchange exchange,
             CallDescription call,
             Release release,
             Route route,
             long arrivedAtNanos) {
         this.dependencies = dependencies;
+        this.activeCalls = activeCalls;
         this.exchange = exchange;
         this.call = call;
         this.release = release;
@@ -76,7 +80,24 @@
         this.retryPolicy = new RetryPolicy(route);
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
-        this.callLog = new CallLog(dependencies.metrics(), call, route.name(), release.version());
+        this.callLog =
+                new CallLog(
+                        dependencies.metrics(), call, route.name(), release.version(), activeCalls);
+        activeCalls.add(this);
+    }
+
+    CallId id() {
+        return call.id();
+    }
+
+    /** Returns whether the call has been sent to an endpoint that may have run it. */
+    boolean mayHaveRun() {
+        return attempt != null || retryPolicy.possibleRuns() > 0;
+    }
+
+    /** Returns the time since the arrival of the call. */
+    Duration age(long nowNanos) {
+        return Duration.ofNanos(nowNanos - arrivedAtNanos);
     }
 
     void onRequestBodyFailure(IOException error) {
@@ -356,7 +377,7 @@
         if (finished) {
             return;
         }
-        boolean sent = attempt != null || retryPolicy.possibleRuns() > 0;
+        boolean sent = mayHaveRun();
         EndpointRecord endpoint = cancelAttempt();
         if (isResponseStarted()) {
             relay.abort();
@@ -421,6 +442,7 @@
     /** Ends the call: stops its timer, settles its tokens, and records it in metrics and log. */
     private void finish(String outcome, String reason, EndpointRecord endpoint) {
         finished = true;
+        activeCalls.remove(this);
         if (deadlineTimer != null) {
             deadlineTimer.remove();
         }
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
@@ -0,0 +1,81 @@
+package org.tamarackfold.caller.http;
+
+import io.vavr.control.Option;
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.metrics.HostMetrics;
+
+/** The calls in progress of an entry host, and whether the host is stopping. Thread-safe. */
+public final class ActiveCalls {
+    private static final StructuredLog LOG = StructuredLog.of("caller");
+
+    private final HostMetrics metrics;
+    private final Set<ActiveCall> calls = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger exchanges = new AtomicInteger();
+    private volatile long lastArrivalNanos = System.nanoTime();
+    private volatile Option<Long> stopRequestedAtNanos = Option.none();
+
+    ActiveCalls(HostMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    void startStop(long requestedAtNanos) {
+        stopRequestedAtNanos = Option.some(requestedAtNanos);
+    }
+
+    boolean isStopping() {
+        return stopRequestedAtNanos.isDefined();
+    }
+
+    /** Returns the time since the stop was requested; none while the host is not stopping. */
+    Option<Duration> timeSinceStop(long nowNanos) {
+        return stopRequestedAtNanos.map(requested -> Duration.ofNanos(nowNanos - requested));
+    }
+
+    /** Counts a request whose head has been read. */
+    void onArrival(long nowNanos) {
+        lastArrivalNanos = nowNanos;
+        exchanges.incrementAndGet();
+        if (isStopping()) {
+            metrics.recordCallInStop("arrived");
+        }
+    }
+
+    /** Counts a request whose response has ended. */
+    void onResponseEnd() {
+        exchanges.decrementAndGet();
+    }
+
+    void add(ActiveCall call) {
+        calls.add(call);
+    }
+
+    void remove(ActiveCall call) {
+        calls.remove(call);
+    }
+
+    /** Returns the number of requests whose response has not ended. */
+    int count() {
+        return exchanges.get();
+    }
+
+    long lastArrivalNanos() {
+        return lastArrivalNanos;
+    }
+
+    /** Logs and counts the calls that are cut off because the process ends. */
+    void logCutCalls() {
+        long nowNanos = System.nanoTime();
+        for (ActiveCall call : calls) {
+            metrics.recordCallInStop("cut");
+            LOG.event("call_cut")
+                    .with("call", call.id())
+                    .with("sent", call.mayHaveRun())
+                    .with("ms", call.age(nowNanos).toMillis())
+                    .warn();
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -6,7 +6,6 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
 import org.tamarackfold.log.StructuredLog;
@@ -25,9 +24,7 @@
 
     private final CallDependencies dependencies;
     private final CallDecoder decoder;
-    private final AtomicInteger activeCalls = new AtomicInteger();
-    private volatile boolean draining;
-    private volatile long lastCallNanos = System.nanoTime();
+    private final ActiveCalls activeCalls;
 
     /**
      * Creates the handler.
@@ -37,34 +34,43 @@
     public CallHandler(CallDependencies dependencies) {
         this.dependencies = dependencies;
         this.decoder = new CallDecoder(dependencies.headerNames());
+        this.activeCalls = new ActiveCalls(dependencies.metrics());
     }
 
-    /** From now on, closes each connection after the response to the next call on it. */
-    public void startDraining() {
-        draining = true;
+    /**
+     * From now on, closes each connection after the response to the next call on it.
+     *
+     * @param requestedAtNanos when the stop was requested, in ns of {@link System#nanoTime()}
+     */
+    public void startDraining(long requestedAtNanos) {
+        activeCalls.startStop(requestedAtNanos);
+    }
+
+    /** Logs and counts the calls that are cut off because the process ends. */
+    public void logCutCalls() {
+        activeCalls.logCutCalls();
     }
 
     /** Returns the number of calls whose response has not ended. */
     public int activeCalls() {
-        return activeCalls.get();
+        return activeCalls.count();
     }
 
     /** Returns the time at which the last call arrived, in ns of {@link System#nanoTime()}. */
     public long lastCallNanos() {
-        return lastCallNanos;
+        return activeCalls.lastArrivalNanos();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long arrivedAtNanos = System.nanoTime();
-        lastCallNanos = arrivedAtNanos;
-        if (draining) {
+        if (activeCalls.isStopping()) {
             exchange.setPersistent(false);
         }
-        activeCalls.incrementAndGet();
+        activeCalls.onArrival(arrivedAtNanos);
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
-                    activeCalls.decrementAndGet();
+                    activeCalls.onResponseEnd();
                     next.proceed();
                 });
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, arrivedAtNanos));
@@ -97,7 +103,13 @@
         exchange.setMaxEntitySize(bodyLimitBytes);
         ActiveCall activeCall =
                 new ActiveCall(
-                        dependencies, exchange, call, release.get(), route.get(), arrivedAtNanos);
+                        dependencies,
+                        activeCalls,
+                        exchange,
+                        call,
+                        release.get(),
+                        route.get(),
+                        arrivedAtNanos);
         // Undertow ends the exchange if a callback returns without dispatching.
         exchange.getRequestReceiver()
                 .receiveFullBytes(
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -21,12 +21,19 @@
     private final CallDescription call;
     private final RouteName route;
     private final ReleaseVersion release;
+    private final ActiveCalls activeCalls;
 
-    CallLog(HostMetrics metrics, CallDescription call, RouteName route, ReleaseVersion release) {
+    CallLog(
+            HostMetrics metrics,
+            CallDescription call,
+            RouteName route,
+            ReleaseVersion release,
+            ActiveCalls activeCalls) {
         this.metrics = metrics;
         this.call = call;
         this.route = route;
         this.release = release;
+        this.activeCalls = activeCalls;
     }
 
     /** Records that the call is sent to the selected endpoint. */
@@ -39,6 +46,7 @@
                         .with("endpoint", selected.endpoint().id())
                         .with("in_flight", selected.inFlight())
                         .with("left_ms", remainingTime.toMillis());
+        addTimeSinceStop(line, nowNanos);
         call.turn().forEach(turn -> line.with("program", turn.program()));
         for (StatedRateLimit stated : selected.rateLimit()) {
             line.with("limit_per_s", stated.limit())
@@ -90,6 +98,14 @@
                         .with("attempts", attempts)
                         .with("ms", TimeUnit.NANOSECONDS.toMillis(durationNanos));
         endpoint.forEach(id -> line.with("endpoint", id));
+        addTimeSinceStop(line, System.nanoTime());
         line.info();
     }
+
+    /** Adds how long the host has been stopping; nothing while it is not. */
+    private void addTimeSinceStop(StructuredLog.Line line, long nowNanos) {
+        activeCalls
+                .timeSinceStop(nowNanos)
+                .forEach(time -> line.with("stopping_ms", time.toMillis()));
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -15,6 +15,7 @@
     private final Counter attempts;
     private final Counter limitedAttempts;
     private final Counter rateLimitedSelections;
+    private final Counter callsInStop;
     private final Counter keyValueCalls;
     private final Counter peerCalls;
     private final Histogram callLatency;
@@ -46,6 +47,12 @@
                                 "Selections that found all endpoints at their rate limit, by service.")
                         .labelNames("service")
                         .register(registry);
+        callsInStop =
+                Counter.builder()
+                        .name("tamarackfold_calls_in_stop")
+                        .help("Calls during a planned stop of this host, by what became of them.")
+                        .labelNames("result")
+                        .register(registry);
         keyValueCalls =
                 Counter.builder()
                         .name("tamarackfold_key_value_calls")
@@ -93,6 +100,15 @@
         rateLimitedSelections.labelValues(service).inc();
     }
 
+    /**
+     * Counts a call during a planned stop of this host.
+     *
+     * @param result {@code arrived}, or what became of the call
+     */
+    public void recordCallInStop(String result) {
+        callsInStop.labelValues(result).inc();
+    }
+
     /** Counts a finished or failed call to the key-value service. */
     public void recordKeyValueCall(String operation, String outcome) {
         keyValueCalls.labelValues(operation, outcome).inc();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -172,13 +172,14 @@
         stopping = true;
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         registration.stop();
-        callHandler.startDraining();
+        callHandler.startDraining(stopRequestedAtNanos);
         Duration addressLifetime =
                 components.settings().directoryTimeToLive().multipliedBy(ADDRESS_TTL_MULTIPLE);
         Duration timeout = components.settings().shutdownGrace().minus(PROCESS_EXIT_MARGIN);
         PollingWait.until(() -> isQuiet(stopRequestedAtNanos + addressLifetime.toNanos()), timeout);
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         server.stop();
+        callHandler.logCutCalls();
     }
 
     private boolean isQuiet(long earliestStopNanos) {
