--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
@@ -58,11 +59,13 @@
         EntryNode node;
         Address callers;
         private Thread stopping;
+        private volatile long stoppedAtNanos;
 
         /** Starts the host and waits until it accepts calls. */
         @BeforeMethod
         public void start() throws Exception {
             endpoint = new ScriptedEndpoint();
+            prepare();
             MemoryKeyValueService keyValue = new MemoryKeyValueService(new ExecutorScheduler());
             StandaloneAdapter adapter = new StandaloneAdapter(keyValue);
             keyValue.write(
@@ -70,7 +73,7 @@
                     Vector.of(
                             new KeyValueService.Put(
                                     adapter.releaseKey(),
-                                    RELEASE.getBytes(StandardCharsets.UTF_8),
+                                    release().getBytes(StandardCharsets.UTF_8),
                                     0),
                             StandaloneAdapter.registration(registration())),
                     Vector.empty());
@@ -80,18 +83,33 @@
             waitUntilReady();
         }
 
+        /** Starts what the fixture of a nested class needs before the host. */
+        void prepare() throws IOException {}
+
+        String release() {
+            return RELEASE;
+        }
+
+        Address endpointAddress() {
+            return endpoint.address();
+        }
+
+        Duration shutdownGrace() {
+            return Duration.ofSeconds(8);
+        }
+
         private EndpointRecord registration() {
             return new EndpointRecord(
                     new EndpointId("ledger-1"),
                     new ServiceName("ledger"),
-                    endpoint.address(),
+                    endpointAddress(),
                     new AvailabilityZone("a"),
                     8,
                     false,
                     0);
         }
 
-        private static HostSettings settings() throws IOException {
+        private HostSettings settings() throws IOException {
             return HostSettings.builder()
                     .role(HostRole.ENTRY)
                     .host(new HostId("entry-1"))
@@ -104,6 +122,7 @@
                     .metricsAddress(freeAddress())
                     .keyValue(new KeyValueSettings(freeAddress(), Duration.ofSeconds(1)))
                     .directoryTimeToLive(Duration.ofMillis(100))
+                    .shutdownGrace(shutdownGrace())
                     .build();
         }
 
@@ -128,12 +147,28 @@
 
         /** Stops the host on another thread, as the handler of the termination signal does. */
         void requestStop() {
-            stopping = Thread.ofPlatform().start(node::stop);
+            stopping =
+                    Thread.ofPlatform()
+                            .start(
+                                    () -> {
+                                        node.stop();
+                                        stoppedAtNanos = System.nanoTime();
+                                    });
+        }
+
+        /** Returns when the host had stopped, in ns of {@link System#nanoTime()}. */
+        long stoppedAtNanos() {
+            return stoppedAtNanos;
+        }
+
+        /** Waits until the host has stopped. */
+        void awaitStopped() throws InterruptedException {
+            stopping.join(10_000);
         }
 
         /** Waits for the end of the host. */
         @AfterMethod(alwaysRun = true)
-        public void stop() throws InterruptedException {
+        public void stop() throws Exception {
             if (stopping != null) {
                 stopping.join(10_000);
             }
@@ -159,9 +194,8 @@
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
-        /** Reads a response until its body of known length is complete. */
-        static String readResponse(Socket socket) throws IOException {
-            InputStream in = socket.getInputStream();
+        /** Reads up to the empty line after the headers, or up to the end of the connection. */
+        static String readHead(InputStream in) throws IOException {
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
                 int next = in.read();
@@ -170,10 +204,17 @@
                 }
                 head.append((char) next);
             }
-            String lower = head.toString().toLowerCase(java.util.Locale.ROOT);
+            return head.toString();
+        }
+
+        /** Reads a response until its body of known length is complete. */
+        static String readResponse(Socket socket) throws IOException {
+            InputStream in = socket.getInputStream();
+            String head = readHead(in);
+            String lower = head.toLowerCase(Locale.ROOT);
             int start = lower.indexOf("content-length: ");
             if (start < 0) {
-                return head.toString();
+                return head;
             }
             int end = lower.indexOf("\r\n", start);
             int length = Integer.parseInt(lower.substring(start + 16, end).trim());
