Refuse calls during a stop that could outlast the host

Callers saw calls that were taken long after SIGTERM and cut at the end of the grace, also such that may run at most once. A stopping host took each call until it had been quiet for 1.2 s, whatever time was left; a caller that stayed kept it from becoming quiet. The class of fault: work is accepted without a look at the time in which it can be done.

StopSchedule decides by the time left. While callers rightly use the address calls are sent as ever; later only those whose own deadline is before the final responses, also for a retry and after a reservation. The others get 503 before anything is sent, and their callers can go to another host.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -127,6 +127,10 @@
         deadlineTimer =
                 exchange.getIoThread()
                         .executeAfter(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+        if (!activeCalls.maySend(System.nanoTime(), deadlineNanos)) {
+            refuseBecauseStopping();
+            return;
+        }
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
         selectionRequest = new SelectionRequest(selectService(), affinityKey(), HashSet.empty());
         if (!turnState.usesTokenBudget()) {
@@ -182,6 +186,10 @@
             onDeadline();
             return;
         }
+        if (!activeCalls.maySend(nowNanos, deadlineNanos)) {
+            refuseBecauseStopping();
+            return;
+        }
         Selection selection = dependencies.endpoints().select(selectionRequest, nowNanos);
         switch (selection) {
             case Selection.NoneEligible() ->
@@ -257,6 +265,12 @@
         }
     }
 
+    /** Ends a call that could outlast this host; another host can take it at once. */
+    private void refuseBecauseStopping() {
+        dependencies.metrics().recordCallInStop("refused");
+        apply(retryPolicy.whenNoFurtherAttempt(), "the host is stopping");
+    }
+
     private LocalResponse refusal(String reason) {
         return new LocalResponse.Refused(retryDelays.standard(), reason);
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.metrics.HostMetrics;
 
@@ -16,23 +17,30 @@
     private final Set<ActiveCall> calls = ConcurrentHashMap.newKeySet();
     private final AtomicInteger exchanges = new AtomicInteger();
     private volatile long lastArrivalNanos = System.nanoTime();
-    private volatile Option<Long> stopRequestedAtNanos = Option.none();
+    private volatile Option<Stop> stop = Option.none();
+
+    private record Stop(long requestedAtNanos, StopSchedule schedule) {}
 
     ActiveCalls(HostMetrics metrics) {
         this.metrics = metrics;
     }
 
-    void startStop(long requestedAtNanos) {
-        stopRequestedAtNanos = Option.some(requestedAtNanos);
+    void startStop(long requestedAtNanos, StopSchedule schedule) {
+        stop = Option.some(new Stop(requestedAtNanos, schedule));
     }
 
     boolean isStopping() {
-        return stopRequestedAtNanos.isDefined();
+        return stop.isDefined();
     }
 
     /** Returns the time since the stop was requested; none while the host is not stopping. */
     Option<Duration> timeSinceStop(long nowNanos) {
-        return stopRequestedAtNanos.map(requested -> Duration.ofNanos(nowNanos - requested));
+        return stop.map(current -> Duration.ofNanos(nowNanos - current.requestedAtNanos()));
+    }
+
+    /** Returns whether a call with this deadline may be sent to an endpoint now. */
+    boolean maySend(long nowNanos, long deadlineNanos) {
+        return stop.forAll(current -> current.schedule().maySend(nowNanos, deadlineNanos));
     }
 
     /** Counts a request whose head has been read. */
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
+import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
@@ -38,12 +39,13 @@
     }
 
     /**
-     * From now on, closes each connection after the response to the next call on it.
+     * From now on, closes each connection after the response to the next call on it, and sends
+     * calls to endpoints only as the schedule allows.
      *
      * @param requestedAtNanos when the stop was requested, in ns of {@link System#nanoTime()}
      */
-    public void startDraining(long requestedAtNanos) {
-        activeCalls.startStop(requestedAtNanos);
+    public void startDraining(long requestedAtNanos, StopSchedule schedule) {
+        activeCalls.startStop(requestedAtNanos, schedule);
     }
 
     /** Logs and counts the calls that are cut off because the process ends. */
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.caller.http.CallDependencies;
 import org.tamarackfold.caller.http.CallHandler;
 import org.tamarackfold.endpoint.EndpointRegistry;
@@ -35,12 +36,6 @@
     /** Callers may use an address for up to this multiple of its time to live. */
     private static final int ADDRESS_TTL_MULTIPLE = 3;
 
-    /** Part of the shutdown grace period that is reserved for the exit of the JVM. */
-    private static final Duration PROCESS_EXIT_MARGIN = Duration.ofMillis(700);
-
-    /** Time without a new call after which a stopping host closes its listeners. */
-    private static final Duration QUIET_PERIOD = Duration.ofMillis(1_200);
-
     private final HostComponents components;
     private final ReleaseHolder releases = new ReleaseHolder();
     private final EndpointTable endpoints;
@@ -169,23 +164,27 @@
     @Override
     public void stop() {
         long stopRequestedAtNanos = System.nanoTime();
+        StopSchedule schedule =
+                new StopSchedule(
+                        stopRequestedAtNanos,
+                        components.settings().shutdownGrace(),
+                        components
+                                .settings()
+                                .directoryTimeToLive()
+                                .multipliedBy(ADDRESS_TTL_MULTIPLE));
         stopping = true;
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         registration.stop();
-        callHandler.startDraining(stopRequestedAtNanos);
-        Duration addressLifetime =
-                components.settings().directoryTimeToLive().multipliedBy(ADDRESS_TTL_MULTIPLE);
-        Duration timeout = components.settings().shutdownGrace().minus(PROCESS_EXIT_MARGIN);
-        PollingWait.until(() -> isQuiet(stopRequestedAtNanos + addressLifetime.toNanos()), timeout);
+        callHandler.startDraining(stopRequestedAtNanos, schedule);
+        Duration timeout = Duration.ofNanos(schedule.closeNanos() - System.nanoTime());
+        PollingWait.until(() -> isQuiet(schedule), timeout);
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         server.stop();
         callHandler.logCutCalls();
     }
 
-    private boolean isQuiet(long earliestStopNanos) {
-        long nowNanos = System.nanoTime();
-        return nowNanos - earliestStopNanos > 0
-                && callHandler.activeCalls() == 0
-                && nowNanos - callHandler.lastCallNanos() > QUIET_PERIOD.toNanos();
+    private boolean isQuiet(StopSchedule schedule) {
+        return callHandler.activeCalls() == 0
+                && System.nanoTime() - schedule.quietNanos(callHandler.lastCallNanos()) > 0;
     }
 }
