Wait in PlannedStopTest until the host knows its endpoint

The fixture took a 404 as ready, which the host answers once it has read the release. Under load a call could come before the endpoint was listed, and requestsThatArriveDuringTheStopAreAnswered failed once with 503 (no endpoint left). It now waits for the readiness address.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -58,6 +58,7 @@
         ScriptedEndpoint endpoint;
         EntryNode node;
         Address callers;
+        private Address readiness;
         private Thread stopping;
         private volatile long stoppedAtNanos;
 
@@ -79,6 +80,7 @@
                     Vector.empty());
             HostSettings settings = settings();
             callers = settings.callerAddress().get();
+            readiness = settings.readinessAddress().get();
             node = EntryNode.start(settings, adapter);
             waitUntilReady();
         }
@@ -132,17 +134,18 @@
             }
         }
 
+        /** Waits until the host knows its release and its endpoint. */
         private void waitUntilReady() throws Exception {
             for (int i = 0; i < 100; i++) {
-                try (Socket socket = connect()) {
-                    send(socket, "GET /none HTTP/1.1\r\nHost: 127.0.0.1\r\nCall-Id: c\r\n\r\n");
-                    if (readResponse(socket).startsWith("HTTP/1.1 404")) {
+                try (Socket socket = new Socket(readiness.ip(), readiness.port())) {
+                    send(socket, "GET /ready HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n");
+                    if (readResponse(socket).startsWith("HTTP/1.1 200")) {
                         return;
                     }
                 }
                 Thread.sleep(50);
             }
-            throw new IllegalStateException("the host accepts no calls");
+            throw new IllegalStateException("the host does not become ready");
         }
 
         /** Stops the host on another thread, as the handler of the termination signal does. */
