Answer all calls before a stopping entry host ends

Calls that had arrived early and outlasted the grace were cut without an answer; a request with half its body was left open, and would have been sent to an endpoint up to the exit of the process. Nothing ended calls at the end of the grace.

A response that has begun is broken off.

The deadline of a call now takes the same path.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -40,6 +40,8 @@
     /** Remaining time below which no further attempt is made; the deadline timer is due. */
     private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    private static final String STOP_REASON = "the host is stopping";
+
     private final CallDependencies dependencies;
     private final ActiveCalls activeCalls;
     private final HttpServerExchange exchange;
@@ -115,6 +117,9 @@
     }
 
     void start(byte[] requestBody) {
+        if (finished) {
+            return;
+        }
         body = requestBody;
         Duration timeout =
                 Durations.min(call.timeout().getOrElse(DEFAULT_TIMEOUT), route.timeout());
@@ -268,7 +273,7 @@
     /** Ends a call that could outlast this host; another host can take it at once. */
     private void refuseBecauseStopping() {
         dependencies.metrics().recordCallInStop("refused");
-        apply(retryPolicy.whenNoFurtherAttempt(), "the host is stopping");
+        apply(retryPolicy.whenNoFurtherAttempt(), STOP_REASON);
     }
 
     private LocalResponse refusal(String reason) {
@@ -388,6 +393,31 @@
     }
 
     private void onDeadline() {
+        endUnanswered("timed_out", new LocalResponse.TimedOut(), "deadline passed");
+    }
+
+    /** Gives the call its final response now, because the host stops. Called on any thread. */
+    void endBecauseStopping() {
+        exchange.getIoThread().execute(this::onHostStopping);
+    }
+
+    private void onHostStopping() {
+        if (finished) {
+            return;
+        }
+        dependencies.metrics().recordCallInStop("ended");
+        exchange.setPersistent(false);
+        endUnanswered("broken_off", new LocalResponse.Unknown(STOP_REASON), STOP_REASON);
+    }
+
+    /**
+     * Ends a call that waits for a response: refuses it if it was not sent to an endpoint, and
+     * breaks off a response that has begun.
+     *
+     * @param brokenOffOutcome the outcome in the log when a response is broken off
+     * @param whenSent the response if the call may have run
+     */
+    private void endUnanswered(String brokenOffOutcome, LocalResponse whenSent, String reason) {
         if (finished) {
             return;
         }
@@ -395,14 +425,10 @@
         EndpointRecord endpoint = cancelAttempt();
         if (isResponseStarted()) {
             relay.abort();
-            finish("timed_out", "deadline passed before the event stream ended", endpoint);
-            return;
-        }
-        if (!sent) {
-            respond(refusal("deadline passed before the call was sent to an endpoint"));
+            finish(brokenOffOutcome, reason + " before the response ended", endpoint);
             return;
         }
-        respond(new LocalResponse.TimedOut());
+        respond(sent ? whenSent : refusal(reason + " before the call was sent to an endpoint"));
     }
 
     private void onCallerDisconnected() {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
@@ -74,6 +74,11 @@
         return lastArrivalNanos;
     }
 
+    /** Gives all calls in progress their final responses. */
+    void endAll() {
+        calls.forEach(ActiveCall::endBecauseStopping);
+    }
+
     /** Logs and counts the calls that are cut off because the process ends. */
     void logCutCalls() {
         long nowNanos = System.nanoTime();
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -48,6 +48,11 @@
         activeCalls.startStop(requestedAtNanos, schedule);
     }
 
+    /** Gives all calls in progress their final responses. */
+    public void endCalls() {
+        activeCalls.endAll();
+    }
+
     /** Logs and counts the calls that are cut off because the process ends. */
     public void logCutCalls() {
         activeCalls.logCutCalls();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -176,13 +176,22 @@
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         registration.stop();
         callHandler.startDraining(stopRequestedAtNanos, schedule);
-        Duration timeout = Duration.ofNanos(schedule.closeNanos() - System.nanoTime());
-        PollingWait.until(() -> isQuiet(schedule), timeout);
+        awaitQuiet(schedule, schedule.finalResponseNanos());
+        if (!isQuiet(schedule)) {
+            LOG.event("ending_calls").with("active_calls", callHandler.activeCalls()).info();
+            callHandler.endCalls();
+            awaitQuiet(schedule, schedule.closeNanos());
+        }
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         server.stop();
         callHandler.logCutCalls();
     }
 
+    private void awaitQuiet(StopSchedule schedule, long untilNanos) {
+        Duration timeout = Duration.ofNanos(untilNanos - System.nanoTime());
+        PollingWait.until(() -> isQuiet(schedule), timeout);
+    }
+
     private boolean isQuiet(StopSchedule schedule) {
         return callHandler.activeCalls() == 0
                 && System.nanoTime() - schedule.quietNanos(callHandler.lastCallNanos()) > 0;
