Close the connections of a host that has stopped

The server class of Undertow closes only its listening sockets when its I/O threads are shared, so requests on open connections were still read, and sent to endpoints, between the line stopped and the exit of the process. Storage hosts read requests after their record log was closed.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LateCallTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LateCallTest.java
@@ -197,6 +197,18 @@
             assertEquals(timedEndpoint.timesReceived("half"), 0);
         }
 
+        /** Guards against calls that are taken on an open connection after the host has stopped. */
+        @Test
+        public void openConnectionIsClosedWhenTheHostHasStopped() throws Exception {
+            try (Socket socket = connect()) {
+                send(socket, request("/read/", "first", ROUTE_TIMEOUT_MILLIS, 0));
+                assertTrue(readResponse(socket).endsWith("done"));
+                requestStop();
+                awaitStopped();
+                assertEquals(socket.getInputStream().read(), -1);
+            }
+        }
+
         /** Guards against a second request on a connection that is closed after the first. */
         @Test
         public void pipelinedRequestsAreAnswered() throws Exception {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.node.runtime;
 
-import io.undertow.Undertow;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -42,7 +41,7 @@
     private final EndpointListener endpointListener;
     private final LeasedKey registration;
     private final CallHandler callHandler;
-    private final Undertow server;
+    private final HttpListeners listeners;
     private volatile boolean stopping;
 
     private EntryNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
@@ -57,7 +56,7 @@
         endpointListener = new EndpointListener(adapter, registry);
         callHandler = new CallHandler(newCallDependencies());
         registration = newRegistration(settings);
-        server =
+        listeners =
                 new HttpListeners(components.runtime())
                         .add(settings.callerAddress().get(), callHandler)
                         .add(
@@ -183,7 +182,7 @@
             awaitQuiet(schedule, schedule.closeNanos());
         }
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
-        server.stop();
+        listeners.stop();
         callHandler.logCutCalls();
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HttpListeners.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HttpListeners.java
@@ -1,13 +1,25 @@
 package org.tamarackfold.node.runtime;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.transport.IoRuntime;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
 
-/** Builds the HTTP server of a host with one listener for each address. */
+/**
+ * The HTTP listeners of a host, one for each address, with their connections. Used instead of the
+ * server class of Undertow, which leaves the connections open when it stops.
+ */
 final class HttpListeners {
     /** Largest request head, in bytes. The limits of the release are not applied to listeners. */
     private static final int MAXIMUM_HEADER_BYTES = 64 * 1024;
@@ -26,33 +38,61 @@
      */
     private static final int BACKLOG = 1_024;
 
-    private final Undertow.Builder builder;
+    private static final OptionMap SOCKET_OPTIONS =
+            OptionMap.builder()
+                    .set(Options.BACKLOG, BACKLOG)
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .getMap();
+
+    private static final OptionMap SERVER_OPTIONS =
+            OptionMap.builder()
+                    .set(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
+                    .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
+                    .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+                    .set(UndertowOptions.DECODE_URL, false)
+                    .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                    .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+                    .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                    .getMap();
+
+    private final IoRuntime runtime;
+    private final List<HttpOpenListener> openListeners = new ArrayList<>();
+    private final List<AcceptingChannel<StreamConnection>> acceptingChannels = new ArrayList<>();
 
     HttpListeners(IoRuntime runtime) {
-        builder =
-                Undertow.builder()
-                        .setWorker(runtime.worker())
-                        .setByteBufferPool(runtime.buffers())
-                        .setSocketOption(Options.BACKLOG, BACKLOG)
-                        .setSocketOption(Options.TCP_NODELAY, true)
-                        .setSocketOption(Options.REUSE_ADDRESSES, true)
-                        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAXIMUM_HEADER_BYTES)
-                        .setServerOption(
-                                UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLIS)
-                        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                        .setServerOption(UndertowOptions.DECODE_URL, false)
-                        .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                        .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true);
+        this.runtime = runtime;
     }
 
-    HttpListeners add(Address address, HttpHandler handler) {
-        builder.addHttpListener(address.port(), address.ip(), handler);
+    /**
+     * Binds an address; connections are accepted from {@link #start} on.
+     *
+     * @throws IOException when the address cannot be bound
+     */
+    HttpListeners add(Address address, HttpHandler handler) throws IOException {
+        HttpOpenListener openListener = new HttpOpenListener(runtime.buffers(), SERVER_OPTIONS);
+        openListener.setRootHandler(handler);
+        openListeners.add(openListener);
+        acceptingChannels.add(
+                runtime.worker()
+                        .createStreamConnectionServer(
+                                new InetSocketAddress(address.ip(), address.port()),
+                                ChannelListeners.openListenerAdapter(openListener),
+                                SOCKET_OPTIONS));
         return this;
     }
 
-    Undertow start() {
-        Undertow server = builder.build();
-        server.start();
-        return server;
+    HttpListeners start() {
+        acceptingChannels.forEach(AcceptingChannel::resumeAccepts);
+        return this;
+    }
+
+    /**
+     * Closes the listeners, then each connection on its I/O thread, so that a request that the
+     * thread is reading is still answered if its handler responds at once.
+     */
+    void stop() {
+        acceptingChannels.forEach(IoUtils::safeClose);
+        openListeners.forEach(HttpOpenListener::closeConnections);
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -1,6 +1,5 @@
 package org.tamarackfold.node.runtime;
 
-import io.undertow.Undertow;
 import io.vavr.collection.Vector;
 import java.io.IOException;
 import java.time.Duration;
@@ -48,7 +47,7 @@
     private final FailureDetector failureDetector;
     private final LeasedKey registration;
     private final RetirementListener retirementListener;
-    private final Undertow server;
+    private final HttpListeners listeners;
 
     private StorageNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         components = new HostComponents(settings, adapter);
@@ -75,7 +74,7 @@
         registration =
                 components.newRegistration(
                         SharedKeys.storageHost(settings.host()), components.codec().encode(self));
-        server =
+        listeners =
                 new HttpListeners(components.runtime())
                         .add(settings.peerAddress(), new PeerHandler(newReplicaService()))
                         .add(settings.metricsAddress(), Handlers.metrics(components.metrics()))
@@ -172,7 +171,7 @@
         PollingWait.until(() -> !retirementListener.holdsShards(), SHARD_MOVE_TIMEOUT);
         registration.stop();
         LOG.event("stopped").with("holds_shards", retirementListener.holdsShards()).info();
-        server.stop();
+        listeners.stop();
         recordLog.close();
     }
 }
