Answer pipelined requests while an entry host stops

A stopping host closed each connection after the response to its next request, also if the caller had sent a further one, which then had no answer; and it kept connections open whose call had begun before the stop, so their callers came back. Whether the connection is closed is now decided when the response begins, and not while bytes of another request are there.

pipelinedRequestsAreAnswered failed before (no second answer) and passes now.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -2,6 +2,7 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -71,10 +72,8 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long arrivedAtNanos = System.nanoTime();
-        if (activeCalls.isStopping()) {
-            exchange.setPersistent(false);
-        }
         activeCalls.onArrival(arrivedAtNanos);
+        exchange.addResponseCommitListener(this::closeConnectionIfStopping);
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
                     activeCalls.onResponseEnd();
@@ -83,6 +82,14 @@
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, arrivedAtNanos));
     }
 
+    /** Keeps the connection open for a request that the caller has sent already. */
+    private void closeConnectionIfStopping(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        if (activeCalls.isStopping() && connection.getExtraBytes() == null) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void accept(HttpServerExchange exchange, long arrivedAtNanos) {
         Either<String, CallDescription> decoded = decoder.decode(exchange);
         if (decoded.isLeft()) {
