--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
@@ -57,12 +58,15 @@
         ScriptedEndpoint endpoint;
         EntryNode node;
         Address callers;
+        private Address readiness;
         private Thread stopping;
+        private volatile long stoppedAtNanos;
 
         /** Starts the host and waits until it accepts calls. */
         @BeforeMethod
         public void start() throws Exception {
             endpoint = new ScriptedEndpoint();
+            prepare();
             MemoryKeyValueService keyValue = new MemoryKeyValueService(new ExecutorScheduler());
             StandaloneAdapter adapter = new StandaloneAdapter(keyValue);
             keyValue.write(
@@ -70,28 +74,44 @@
                     Vector.of(
                             new KeyValueService.Put(
                                     adapter.releaseKey(),
-                                    RELEASE.getBytes(StandardCharsets.UTF_8),
+                                    release().getBytes(StandardCharsets.UTF_8),
                                     0),
                             StandaloneAdapter.registration(registration())),
                     Vector.empty());
             HostSettings settings = settings();
             callers = settings.callerAddress().get();
+            readiness = settings.readinessAddress().get();
             node = EntryNode.start(settings, adapter);
             waitUntilReady();
         }
 
+        /** Starts what the fixture of a nested class needs before the host. */
+        void prepare() throws IOException {}
+
+        String release() {
+            return RELEASE;
+        }
+
+        Address endpointAddress() {
+            return endpoint.address();
+        }
+
+        Duration shutdownGrace() {
+            return Duration.ofSeconds(8);
+        }
+
         private EndpointRecord registration() {
             return new EndpointRecord(
                     new EndpointId("ledger-1"),
                     new ServiceName("ledger"),
-                    endpoint.address(),
+                    endpointAddress(),
                     new AvailabilityZone("a"),
                     8,
                     false,
                     0);
         }
 
-        private static HostSettings settings() throws IOException {
+        private HostSettings settings() throws IOException {
             return HostSettings.builder()
                     .role(HostRole.ENTRY)
                     .host(new HostId("entry-1"))
@@ -104,6 +124,7 @@
                     .metricsAddress(freeAddress())
                     .keyValue(new KeyValueSettings(freeAddress(), Duration.ofSeconds(1)))
                     .directoryTimeToLive(Duration.ofMillis(100))
+                    .shutdownGrace(shutdownGrace())
                     .build();
         }
 
@@ -113,27 +134,44 @@
             }
         }
 
+        /** Waits until the host knows its release and its endpoint. */
         private void waitUntilReady() throws Exception {
             for (int i = 0; i < 100; i++) {
-                try (Socket socket = connect()) {
-                    send(socket, "GET /none HTTP/1.1\r\nHost: 127.0.0.1\r\nCall-Id: c\r\n\r\n");
-                    if (readResponse(socket).startsWith("HTTP/1.1 404")) {
+                try (Socket socket = new Socket(readiness.ip(), readiness.port())) {
+                    send(socket, "GET /ready HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n");
+                    if (readResponse(socket).startsWith("HTTP/1.1 200")) {
                         return;
                     }
                 }
                 Thread.sleep(50);
             }
-            throw new IllegalStateException("the host accepts no calls");
+            throw new IllegalStateException("the host does not become ready");
         }
 
         /** Stops the host on another thread, as the handler of the termination signal does. */
         void requestStop() {
-            stopping = Thread.ofPlatform().start(node::stop);
+            stopping =
+                    Thread.ofPlatform()
+                            .start(
+                                    () -> {
+                                        node.stop();
+                                        stoppedAtNanos = System.nanoTime();
+                                    });
+        }
+
+        /** Returns when the host had stopped, in ns of {@link System#nanoTime()}. */
+        long stoppedAtNanos() {
+            return stoppedAtNanos;
+        }
+
+        /** Waits until the host has stopped. */
+        void awaitStopped() throws InterruptedException {
+            stopping.join(10_000);
         }
 
         /** Waits for the end of the host. */
         @AfterMethod(alwaysRun = true)
-        public void stop() throws InterruptedException {
+        public void stop() throws Exception {
             if (stopping != null) {
                 stopping.join(10_000);
             }
@@ -159,9 +197,8 @@
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
-        /** Reads a response until its body of known length is complete. */
-        static String readResponse(Socket socket) throws IOException {
-            InputStream in = socket.getInputStream();
+        /** Reads up to the empty line after the headers, or up to the end of the connection. */
+        static String readHead(InputStream in) throws IOException {
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
                 int next = in.read();
@@ -170,10 +207,17 @@
                 }
                 head.append((char) next);
             }
-            String lower = head.toString().toLowerCase(java.util.Locale.ROOT);
+            return head.toString();
+        }
+
+        /** Reads a response until its body of known length is complete. */
+        static String readResponse(Socket socket) throws IOException {
+            InputStream in = socket.getInputStream();
+            String head = readHead(in);
+            String lower = head.toLowerCase(Locale.ROOT);
             int start = lower.indexOf("content-length: ");
             if (start < 0) {
-                return head.toString();
+                return head;
             }
             int end = lower.indexOf("\r\n", start);
             int length = Integer.parseInt(lower.substring(start + 16, end).trim());
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -19,6 +19,7 @@
 import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
+import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
@@ -39,7 +40,10 @@
     /** Remaining time below which no further attempt is made; the deadline timer is due. */
     private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    private static final String STOP_REASON = "the host is stopping";
+
     private final CallDependencies dependencies;
+    private final ActiveCalls activeCalls;
     private final HttpServerExchange exchange;
     private final CallDescription call;
     private final Release release;
@@ -55,19 +59,21 @@
     private XnioIoThread.Key deadlineTimer;
     private DisconnectDetector disconnectDetector;
     private SelectionRequest selectionRequest;
-    private EndpointAttempt attempt;
+    private volatile EndpointAttempt attempt;
     private long attemptStartedAtNanos;
     private ResponseRelay relay;
     private boolean finished;
 
     ActiveCall(
             CallDependencies dependencies,
+            ActiveCalls activeCalls,
             HttpServerExchange exchange,
             CallDescription call,
             Release release,
             Route route,
             long arrivedAtNanos) {
         this.dependencies = dependencies;
+        this.activeCalls = activeCalls;
         this.exchange = exchange;
         this.call = call;
         this.release = release;
@@ -76,7 +82,24 @@
         this.retryPolicy = new RetryPolicy(route);
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
-        this.callLog = new CallLog(dependencies.metrics(), call, route.name(), release.version());
+        this.callLog =
+                new CallLog(
+                        dependencies.metrics(), call, route.name(), release.version(), activeCalls);
+        activeCalls.add(this);
+    }
+
+    CallId id() {
+        return call.id();
+    }
+
+    /** Returns whether the call has been sent to an endpoint that may have run it. */
+    boolean mayHaveRun() {
+        return attempt != null || retryPolicy.possibleRuns() > 0;
+    }
+
+    /** Returns the time since the arrival of the call. */
+    Duration age(long nowNanos) {
+        return Duration.ofNanos(nowNanos - arrivedAtNanos);
     }
 
     void onRequestBodyFailure(IOException error) {
@@ -94,6 +117,9 @@
     }
 
     void start(byte[] requestBody) {
+        if (finished) {
+            return;
+        }
         body = requestBody;
         Duration timeout =
                 Durations.min(call.timeout().getOrElse(DEFAULT_TIMEOUT), route.timeout());
@@ -106,6 +132,10 @@
         deadlineTimer =
                 exchange.getIoThread()
                         .executeAfter(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+        if (!activeCalls.maySend(System.nanoTime(), deadlineNanos)) {
+            refuseBecauseStopping();
+            return;
+        }
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
         selectionRequest = new SelectionRequest(selectService(), affinityKey(), HashSet.empty());
         if (!turnState.usesTokenBudget()) {
@@ -161,6 +191,10 @@
             onDeadline();
             return;
         }
+        if (!activeCalls.maySend(nowNanos, deadlineNanos)) {
+            refuseBecauseStopping();
+            return;
+        }
         Selection selection = dependencies.endpoints().select(selectionRequest, nowNanos);
         switch (selection) {
             case Selection.NoneEligible() ->
@@ -236,6 +270,12 @@
         }
     }
 
+    /** Ends a call that could outlast this host; another host can take it at once. */
+    private void refuseBecauseStopping() {
+        dependencies.metrics().recordCallInStop("refused");
+        apply(retryPolicy.whenNoFurtherAttempt(), STOP_REASON);
+    }
+
     private LocalResponse refusal(String reason) {
         return new LocalResponse.Refused(retryDelays.standard(), reason);
     }
@@ -353,21 +393,42 @@
     }
 
     private void onDeadline() {
+        endUnanswered("timed_out", new LocalResponse.TimedOut(), "deadline passed");
+    }
+
+    /** Gives the call its final response now, because the host stops. Called on any thread. */
+    void endBecauseStopping() {
+        exchange.getIoThread().execute(this::onHostStopping);
+    }
+
+    private void onHostStopping() {
         if (finished) {
             return;
         }
-        boolean sent = attempt != null || retryPolicy.possibleRuns() > 0;
+        dependencies.metrics().recordCallInStop("ended");
+        exchange.setPersistent(false);
+        endUnanswered("broken_off", new LocalResponse.Unknown(STOP_REASON), STOP_REASON);
+    }
+
+    /**
+     * Ends a call that waits for a response: refuses it if it was not sent to an endpoint, and
+     * breaks off a response that has begun.
+     *
+     * @param brokenOffOutcome the outcome in the log when a response is broken off
+     * @param whenSent the response if the call may have run
+     */
+    private void endUnanswered(String brokenOffOutcome, LocalResponse whenSent, String reason) {
+        if (finished) {
+            return;
+        }
+        boolean sent = mayHaveRun();
         EndpointRecord endpoint = cancelAttempt();
         if (isResponseStarted()) {
             relay.abort();
-            finish("timed_out", "deadline passed before the event stream ended", endpoint);
-            return;
-        }
-        if (!sent) {
-            respond(refusal("deadline passed before the call was sent to an endpoint"));
+            finish(brokenOffOutcome, reason + " before the response ended", endpoint);
             return;
         }
-        respond(new LocalResponse.TimedOut());
+        respond(sent ? whenSent : refusal(reason + " before the call was sent to an endpoint"));
     }
 
     private void onCallerDisconnected() {
@@ -421,6 +482,7 @@
     /** Ends the call: stops its timer, settles its tokens, and records it in metrics and log. */
     private void finish(String outcome, String reason, EndpointRecord endpoint) {
         finished = true;
+        activeCalls.remove(this);
         if (deadlineTimer != null) {
             deadlineTimer.remove();
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -2,13 +2,14 @@
 
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
+import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
@@ -25,9 +26,7 @@
 
     private final CallDependencies dependencies;
     private final CallDecoder decoder;
-    private final AtomicInteger activeCalls = new AtomicInteger();
-    private volatile boolean draining;
-    private volatile long lastCallNanos = System.nanoTime();
+    private final ActiveCalls activeCalls;
 
     /**
      * Creates the handler.
@@ -37,39 +36,60 @@
     public CallHandler(CallDependencies dependencies) {
         this.dependencies = dependencies;
         this.decoder = new CallDecoder(dependencies.headerNames());
+        this.activeCalls = new ActiveCalls(dependencies.metrics());
     }
 
-    /** From now on, closes each connection after the response to the next call on it. */
-    public void startDraining() {
-        draining = true;
+    /**
+     * From now on, closes each connection after the response to the next call on it, and sends
+     * calls to endpoints only as the schedule allows.
+     *
+     * @param requestedAtNanos when the stop was requested, in ns of {@link System#nanoTime()}
+     */
+    public void startDraining(long requestedAtNanos, StopSchedule schedule) {
+        activeCalls.startStop(requestedAtNanos, schedule);
+    }
+
+    /** Gives all calls in progress their final responses. */
+    public void endCalls() {
+        activeCalls.endAll();
+    }
+
+    /** Logs and counts the calls that are cut off because the process ends. */
+    public void logCutCalls() {
+        activeCalls.logCutCalls();
     }
 
     /** Returns the number of calls whose response has not ended. */
     public int activeCalls() {
-        return activeCalls.get();
+        return activeCalls.count();
     }
 
     /** Returns the time at which the last call arrived, in ns of {@link System#nanoTime()}. */
     public long lastCallNanos() {
-        return lastCallNanos;
+        return activeCalls.lastArrivalNanos();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long arrivedAtNanos = System.nanoTime();
-        lastCallNanos = arrivedAtNanos;
-        if (draining) {
-            exchange.setPersistent(false);
-        }
-        activeCalls.incrementAndGet();
+        activeCalls.onArrival(arrivedAtNanos);
+        exchange.addResponseCommitListener(this::closeConnectionIfStopping);
         exchange.addExchangeCompleteListener(
                 (completed, next) -> {
-                    activeCalls.decrementAndGet();
+                    activeCalls.onResponseEnd();
                     next.proceed();
                 });
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange, arrivedAtNanos));
     }
 
+    /** Keeps the connection open for a request that the caller has sent already. */
+    private void closeConnectionIfStopping(HttpServerExchange exchange) {
+        HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
+        if (activeCalls.isStopping() && connection.getExtraBytes() == null) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void accept(HttpServerExchange exchange, long arrivedAtNanos) {
         Either<String, CallDescription> decoded = decoder.decode(exchange);
         if (decoded.isLeft()) {
@@ -97,7 +117,13 @@
         exchange.setMaxEntitySize(bodyLimitBytes);
         ActiveCall activeCall =
                 new ActiveCall(
-                        dependencies, exchange, call, release.get(), route.get(), arrivedAtNanos);
+                        dependencies,
+                        activeCalls,
+                        exchange,
+                        call,
+                        release.get(),
+                        route.get(),
+                        arrivedAtNanos);
         // Undertow ends the exchange if a callback returns without dispatching.
         exchange.getRequestReceiver()
                 .receiveFullBytes(
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -1,10 +1,10 @@
 package org.tamarackfold.node.runtime;
 
-import io.undertow.Undertow;
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
 import org.tamarackfold.adapter.PlatformAdapter;
+import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.caller.http.CallDependencies;
 import org.tamarackfold.caller.http.CallHandler;
 import org.tamarackfold.endpoint.EndpointRegistry;
@@ -35,19 +35,13 @@
     /** Callers may use an address for up to this multiple of its time to live. */
     private static final int ADDRESS_TTL_MULTIPLE = 3;
 
-    /** Part of the shutdown grace period that is reserved for the exit of the JVM. */
-    private static final Duration PROCESS_EXIT_MARGIN = Duration.ofMillis(700);
-
-    /** Time without a new call after which a stopping host closes its listeners. */
-    private static final Duration QUIET_PERIOD = Duration.ofMillis(1_200);
-
     private final HostComponents components;
     private final ReleaseHolder releases = new ReleaseHolder();
     private final EndpointTable endpoints;
     private final EndpointListener endpointListener;
     private final LeasedKey registration;
     private final CallHandler callHandler;
-    private final Undertow server;
+    private final HttpListeners listeners;
     private volatile boolean stopping;
 
     private EntryNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
@@ -62,7 +56,7 @@
         endpointListener = new EndpointListener(adapter, registry);
         callHandler = new CallHandler(newCallDependencies());
         registration = newRegistration(settings);
-        server =
+        listeners =
                 new HttpListeners(components.runtime())
                         .add(settings.callerAddress().get(), callHandler)
                         .add(
@@ -169,22 +163,36 @@
     @Override
     public void stop() {
         long stopRequestedAtNanos = System.nanoTime();
+        StopSchedule schedule =
+                new StopSchedule(
+                        stopRequestedAtNanos,
+                        components.settings().shutdownGrace(),
+                        components
+                                .settings()
+                                .directoryTimeToLive()
+                                .multipliedBy(ADDRESS_TTL_MULTIPLE));
         stopping = true;
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         registration.stop();
-        callHandler.startDraining();
-        Duration addressLifetime =
-                components.settings().directoryTimeToLive().multipliedBy(ADDRESS_TTL_MULTIPLE);
-        Duration timeout = components.settings().shutdownGrace().minus(PROCESS_EXIT_MARGIN);
-        PollingWait.until(() -> isQuiet(stopRequestedAtNanos + addressLifetime.toNanos()), timeout);
+        callHandler.startDraining(stopRequestedAtNanos, schedule);
+        awaitQuiet(schedule, schedule.finalResponseNanos());
+        if (!isQuiet(schedule)) {
+            LOG.event("ending_calls").with("active_calls", callHandler.activeCalls()).info();
+            callHandler.endCalls();
+            awaitQuiet(schedule, schedule.closeNanos());
+        }
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
-        server.stop();
+        listeners.stop();
+        callHandler.logCutCalls();
+    }
+
+    private void awaitQuiet(StopSchedule schedule, long untilNanos) {
+        Duration timeout = Duration.ofNanos(untilNanos - System.nanoTime());
+        PollingWait.until(() -> isQuiet(schedule), timeout);
     }
 
-    private boolean isQuiet(long earliestStopNanos) {
-        long nowNanos = System.nanoTime();
-        return nowNanos - earliestStopNanos > 0
-                && callHandler.activeCalls() == 0
-                && nowNanos - callHandler.lastCallNanos() > QUIET_PERIOD.toNanos();
+    private boolean isQuiet(StopSchedule schedule) {
+        return callHandler.activeCalls() == 0
+                && System.nanoTime() - schedule.quietNanos(callHandler.lastCallNanos()) > 0;
     }
 }
