Keep a watch alive when a listener throws an error

What callers saw: an entry host that stopped following releases, endpoints and hosts until its next start, had a listener thrown an error such as a StackOverflowError.

Cause: PrefixDispatcher contained exceptions only, and PrefixWatcher none. An Error left the watch call's future completed and started no next call; the listeners after the failing one did not hear of the change.

Ruled out: an error from the JSON of a registration. Jackson ends the reading of values nested deeper than 500 levels with an exception, as MalformedRegistrationsTest shows; this commit removes the consequence for errors of any origin.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
@@ -40,9 +40,16 @@
 
         void startWatcher(Duration gathering) {
             PrefixDispatcher dispatcher =
-                    new PrefixDispatcher().add("bad/", failingListener()).add("", listener());
+                    new PrefixDispatcher()
+                            .add("bad/", failingListener())
+                            .add("overflow/", new OverflowingListener(new ArrayList<>()))
+                            .add("", listener());
+            startWatcher("", gathering, dispatcher);
+        }
+
+        void startWatcher(String prefix, Duration gathering, PrefixWatcher.Listener listener) {
             WatchTiming timing = new WatchTiming(Duration.ofSeconds(3), gathering);
-            new PrefixWatcher(service, "", dispatcher, () -> timing, scheduler, new Random(1))
+            new PrefixWatcher(service, prefix, listener, () -> timing, scheduler, new Random(1))
                     .start();
         }
 
@@ -58,11 +65,10 @@
             };
         }
 
-        void write(String key) {
-            service.write(
-                    Vector.empty(),
-                    Vector.of(new KeyValueService.Put(key, new byte[] {1}, 0)),
-                    Vector.empty());
+        void write(String... keys) {
+            Vector<KeyValueService.Put> puts =
+                    Vector.of(keys).map(key -> new KeyValueService.Put(key, new byte[] {1}, 0));
+            service.write(Vector.empty(), puts, Vector.empty());
         }
 
         private PrefixWatcher.Listener listener() {
@@ -113,7 +119,7 @@
         }
     }
 
-    /** An unexpected error while a change is applied. */
+    /** An unexpected error while items or changes are applied. */
     public static final class FailingListener extends Fixture {
         /** Guards against one change that cannot be applied and blinds the host for good. */
         @Test
@@ -124,6 +130,50 @@
             advance(1_000);
             assertEquals(changes.size(), 2);
         }
+
+        /**
+         * Guards against an error that is no exception, such as that of a value nested too deeply,
+         * which ends the watch or keeps a change from the other listeners.
+         */
+        @Test
+        public void watchContinuesAfterAStackOverflow() {
+            write("overflow/key");
+            advance(1_000);
+            write("good/key");
+            advance(1_000);
+            assertEquals(changes.size(), 2);
+        }
+
+        /** Guards against a watch that an error of a listener without a dispatcher ends. */
+        @Test
+        public void watchWithoutADispatcherContinues() {
+            List<String> heard = new ArrayList<>();
+            startWatcher("", GATHERING, new OverflowingListener(heard));
+            advance(100);
+            write("overflow/key", "good/key-1");
+            advance(1_000);
+            write("good/key-2");
+            advance(1_000);
+            assertEquals(heard, List.of("good/key-1", "good/key-2"));
+        }
+    }
+
+    /** Throws an error for all items, and for changes of some keys. */
+    private record OverflowingListener(List<String> heard) implements PrefixWatcher.Listener {
+        @Override
+        public void onListing(KeyValueService.Listing listing) {
+            throw new StackOverflowError("failing listener");
+        }
+
+        @Override
+        public void onChange(KeyValueService.Change change) {
+            if (change instanceof KeyValueService.Change.Written(KeyValueService.Item item)) {
+                if (item.key().startsWith("overflow/")) {
+                    throw new StackOverflowError("failing listener");
+                }
+                heard.add(item.key());
+            }
+        }
     }
 
     /** Timing derived from the bounds of a fleet. */
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -95,7 +95,7 @@
             return;
         }
         onSuccess();
-        listener.onListing(result.get());
+        notifyListener(() -> listener.onListing(result.get()));
         watch(result.get().asOf());
     }
 
@@ -116,7 +116,7 @@
         onSuccess();
         switch (result.get()) {
             case KeyValueService.WatchResult.Changes(var changes, long asOf) -> {
-                changes.forEach(listener::onChange);
+                changes.forEach(change -> notifyListener(() -> listener.onChange(change)));
                 watchAfterGathering(asOf, changes.isEmpty());
             }
             case KeyValueService.WatchResult.ChangesUnavailable() -> {
@@ -146,14 +146,30 @@
                     .with("failures", consecutiveFailures)
                     .info();
             consecutiveFailures = 0;
-            listener.onReachabilityChanged(true);
+            notifyListener(() -> listener.onReachabilityChanged(true));
+        }
+    }
+
+    private void notifyListener(Runnable notification) {
+        runContained(prefix, notification);
+    }
+
+    /**
+     * Runs a notification of the listener of a prefix. An unexpected exception or error is logged:
+     * the watch and the other listeners continue.
+     */
+    static void runContained(String prefix, Runnable notification) {
+        try {
+            notification.run();
+        } catch (RuntimeException | Error e) {
+            LOG.event("listener_failed").with("prefix", prefix).with("reason", e).warn();
         }
     }
 
     private void onFailure(Failure failure, Runnable retry) {
         if (consecutiveFailures++ == 0) {
             LOG.event("lost").with("prefix", prefix).with("reason", failure).warn();
-            listener.onReachabilityChanged(false);
+            notifyListener(() -> listener.onReachabilityChanged(false));
         }
         long backoff =
                 Math.min(
