Bound the values of log lines and keep each line one line

What operators saw: a log line of the size of the registration that it reports, up to 1 MiB, again at each change of that registration; and values with line breaks, which looked like lines of their own.

Cause: messages of errors quote the value that cannot be read, and the log took them unchanged. The queue of the log holds 2,000 lines, which is more than the memory of a host when each has 1 MiB.

Change: a value is cut after 500 characters and its length follows; control characters become spaces.

--- a/tamarackfold/src/main/java/org/tamarackfold/log/StructuredLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/log/StructuredLog.java
@@ -4,6 +4,9 @@
 
 /** Logger of one component; every line begins with the name of the component. Thread-safe. */
 public final class StructuredLog {
+    /** Longer values are cut, because they may come from other programs, in messages of errors. */
+    private static final int MAXIMUM_VALUE_CHARACTERS = 500;
+
     private final Logger logger;
     private final String component;
 
@@ -34,10 +37,11 @@
 
         /**
          * Adds a key-value pair. A value with spaces or double quotes is put in double quotes, and
-         * its own double quotes become single ones.
+         * its own double quotes become single ones. Control characters become spaces, so that a
+         * line stays one line; the end of a long value is replaced by its length.
          */
         public Line with(String key, Object value) {
-            String valueText = String.valueOf(value);
+            String valueText = printable(String.valueOf(value));
             text.append(' ').append(key).append('=');
             if (valueText.indexOf(' ') >= 0 || valueText.indexOf('"') >= 0) {
                 text.append('"').append(valueText.replace('"', '\'')).append('"');
@@ -47,6 +51,23 @@
             return this;
         }
 
+        private static String printable(String value) {
+            String text =
+                    value.length() <= MAXIMUM_VALUE_CHARACTERS
+                            ? value
+                            : value.substring(0, MAXIMUM_VALUE_CHARACTERS)
+                                    + "... ("
+                                    + value.length()
+                                    + " characters)";
+            StringBuilder printable = new StringBuilder(text);
+            for (int i = 0; i < printable.length(); i++) {
+                if (Character.isISOControl(printable.charAt(i))) {
+                    printable.setCharAt(i, ' ');
+                }
+            }
+            return printable.toString();
+        }
+
         /** Logs the line at level INFO. */
         public void info() {
             logger.info(text);
