--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/MalformedRegistrationsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/MalformedRegistrationsTest.java
@@ -141,6 +141,14 @@
                 .toArray(Object[][]::new);
     }
 
+    /** Returns keys under the prefix of the registrations that end with no endpoint id. */
+    @DataProvider
+    public static Object[][] keys() {
+        return Stream.of("servers/", "servers/i 2", "servers/i-1/x", "servers/" + "i".repeat(190))
+                .map(key -> new Object[] {key})
+                .toArray(Object[][]::new);
+    }
+
     /** A host that follows the registrations of the platform under virtual time. */
     abstract static class Fixture {
         private static final WatchTiming TIMING =
@@ -242,6 +250,19 @@
             register("i-2", "i-4");
             assertKnown("i-1", "i-2", "i-3", "i-4");
         }
+
+        /** Guards against a key without an endpoint id that hides all registrations. */
+        @Test(dataProvider = "keys", dataProviderClass = MalformedRegistrationsTest.class)
+        public void keysWithoutIdAreIgnored(String key) {
+            register("i-1", "i-3");
+            write(key, utf8(SOUND));
+            startHost();
+            assertTrue(listener.hasListing());
+            assertKnown("i-1", "i-3");
+            assertReported();
+            register("i-2");
+            assertKnown("i-1", "i-2", "i-3");
+        }
     }
 
     /** The registration is written while the host runs. */
@@ -257,5 +278,17 @@
             register("i-4", "i-2");
             assertKnown("i-1", "i-2", "i-3", "i-4");
         }
+
+        /** Guards against a key without an endpoint id that hides later changes. */
+        @Test(dataProvider = "keys", dataProviderClass = MalformedRegistrationsTest.class)
+        public void keysWithoutIdAreIgnored(String key) {
+            startHost();
+            register("i-1");
+            write(key, utf8(SOUND));
+            assertReported();
+            service.write(Vector.empty(), Vector.empty(), Vector.of(key));
+            register("i-2");
+            assertKnown("i-1", "i-2");
+        }
     }
 }
