Send no calls to an endpoint that states in a response that it leaves

What callers saw: calls sent to an engine that had said in its earlier responses that it was leaving, until its registration said so too; such a call may end with the engine.

Cause: the header was passed on to the caller, but not read. The host knew of the leaving from the registration only, which some engines never change and which arrives late or not at all while the key-value service is down.

Ruled out: paths to an endpoint besides EndpointTable.select. Retries and turns that wait for their reservation select anew; nothing is held for an endpoint; hosts relay requests of hosts only.

Change: LeavingReader reads the header from the head of each response of the endpoint, not from late copies and misdirected calls. EndpointTable then treats this start of the endpoint as draining and its idle connections are closed. LeavingEndpoints keeps the mark by id and start time, whatever the registration says; without start times it ends a minute after the last statement once the registration was removed, and after ten minutes in any case. The header is still passed on. EntryFixture gives endpoints another start time before it looks for calls in flight, because those that leave cannot be selected; the check itself is the same.

LeavingEndpointsTest needs the new class.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -172,14 +172,28 @@
     }
 
     private int inFlight(EndpointId id, Set<EndpointId> ids) {
-        // A rate limit would leave no call with which to look.
+        // A rate limit would leave no call with which to look, nor would an endpoint that leaves.
         endpointTable.recordRateLimit(id, Option.none(), System.nanoTime());
+        EndpointRecord record = endpointTable.get(id).get();
+        endpointTable.put(startedAt(record, record.startedAtMillis() + 1));
         SelectionRequest onlyHere = new SelectionRequest(SERVICE, Option.none(), ids.remove(id));
         Selection selection = endpointTable.select(onlyHere, System.nanoTime());
         endpointTable.release(id);
         return ((Selection.Selected) selection).inFlight() - 1;
     }
 
+    /** Returns a copy of a registration with another start time. */
+    static EndpointRecord startedAt(EndpointRecord record, long startedAtMillis) {
+        return new EndpointRecord(
+                record.id(),
+                record.service(),
+                record.address(),
+                record.zone(),
+                record.slots(),
+                record.draining(),
+                startedAtMillis);
+    }
+
     Socket connect() throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout(3_000);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import org.tamarackfold.caller.http.CallHeaderNames;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.operator.CallSemantics;
 import org.tamarackfold.operator.Release;
@@ -20,6 +21,17 @@
         return text.getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Names of headers that endpoints set in their responses. */
+    public static final class HeaderNames {
+        /** Guards against a header that is read under another name than the platform gives it. */
+        @Test
+        public void statementsOfEndpointsAreTranslated() {
+            CallHeaderNames names = ADAPTER.callHeaderNames();
+            assertEquals(names.rateLimit().toString(), "Server-Limit");
+            assertEquals(names.leaving().toString(), "Server-Leaving");
+        }
+    }
+
     /** Registrations of endpoints. */
     public static final class Registrations {
         private static final String REGISTRATION =
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
@@ -22,6 +22,7 @@
  * @param notRun set in the response of an endpoint that has not run the call
  * @param rateLimit set in the responses of an endpoint that limits the calls a second that it takes
  *     from all hosts together
+ * @param leaving set to 1 in all responses of an endpoint that is leaving
  * @param reserved headers that only entry hosts may set; removed from the requests of callers
  */
 public record CallHeaderNames(
@@ -37,6 +38,7 @@
         HttpString expectedEndpoint,
         HttpString notRun,
         HttpString rateLimit,
+        HttpString leaving,
         Set<HttpString> reserved) {
     /** Header names of tamarackfold's own protocol; a platform adapter may use others. */
     public static final CallHeaderNames DEFAULT =
@@ -53,5 +55,6 @@
                     new HttpString("Expected-Endpoint"),
                     new HttpString("Not-Run"),
                     new HttpString("Rate-Limit"),
+                    new HttpString("Endpoint-Leaving"),
                     HashSet.of(new HttpString("Expected-Endpoint")));
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -50,6 +50,7 @@
     private final CallDescription call;
     private final CallHeaderNames headerNames;
     private final RateLimitReader rateLimitReader;
+    private final LeavingReader leavingReader;
     private final Listener listener;
     private ExchangeHandle handle;
 
@@ -68,6 +69,9 @@
         this.headerNames = dependencies.headerNames();
         this.rateLimitReader =
                 new RateLimitReader(headerNames.rateLimit(), dependencies.endpoints());
+        this.leavingReader =
+                new LeavingReader(
+                        headerNames.leaving(), dependencies.endpoints(), dependencies.client());
         this.listener = listener;
     }
 
@@ -124,8 +128,9 @@
         }
         boolean misdirected = head.status() == MISDIRECTED_STATUS;
         if (!misdirected) {
-            // A misdirected call was answered by another endpoint, whose limit this is not.
+            // A misdirected call was answered by another endpoint, which speaks for itself only.
             rateLimitReader.read(endpoint.id(), call.id(), head.headers());
+            leavingReader.read(endpoint, call.id(), head.headers());
         }
         if (head.headers().contains(headerNames.notRun())) {
             rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
@@ -60,7 +60,8 @@
         lock.run(
                 () -> {
                     if (!isReachable) {
-                        availableCountsBeforeOutage = table.countAvailable(Set.of());
+                        availableCountsBeforeOutage =
+                                table.countAvailable(Set.of(), scheduler.nanoTime());
                     }
                     reachable = isReachable;
                     outageObserved = true;
@@ -126,7 +127,7 @@
     private Set<ServiceName> servicesBelowMinimumWithout(Set<EndpointId> ids) {
         Set<EndpointId> missing = new HashSet<>(heldBackRemovals.keySet());
         missing.addAll(ids);
-        Map<ServiceName, Long> remaining = table.countAvailable(missing);
+        Map<ServiceName, Long> remaining = table.countAvailable(missing, scheduler.nanoTime());
         return availableCountsBeforeOutage.entrySet().stream()
                 .filter(
                         entry ->
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.tamarackfold.endpoint.LeavingEndpoints.Incarnation;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
@@ -36,6 +37,7 @@
     private final TableLock lock = new TableLock(LockRank.ENDPOINTS);
     private final Map<EndpointId, EndpointState> states = new HashMap<>();
     private final Map<ServiceName, CallRate> rates = new HashMap<>();
+    private final LeavingEndpoints leaving = new LeavingEndpoints();
     private final AvailabilityZone localZone;
     private final RandomGenerator random;
     private final FleetView fleet;
@@ -75,7 +77,13 @@
 
     /** Removes an endpoint; returns its registration, none when it is unknown. */
     public Option<EndpointRecord> remove(EndpointId id) {
-        return lock.withLock(() -> Option.of(states.remove(id)).map(EndpointState::record));
+        return lock.withLock(
+                () -> {
+                    Option<EndpointRecord> removed =
+                            Option.of(states.remove(id)).map(EndpointState::record);
+                    removed.map(Incarnation::of).forEach(leaving::onRemoved);
+                    return removed;
+                });
     }
 
     /** Returns the registration of an endpoint; none when it is unknown. */
@@ -83,13 +91,15 @@
         return lock.withLock(() -> Option.of(states.get(id)).map(EndpointState::record));
     }
 
-    /** Counts the endpoints of each service, without those that are draining or excluded. */
-    public Map<ServiceName, Long> countAvailable(Set<EndpointId> excluded) {
+    /**
+     * Counts the endpoints of each service, without those that are draining, leaving or excluded.
+     */
+    public Map<ServiceName, Long> countAvailable(Set<EndpointId> excluded, long nowNanos) {
         return lock.withLock(
                 () ->
                         states.values().stream()
                                 .map(EndpointState::record)
-                                .filter(record -> !record.draining())
+                                .filter(record -> !isDrainingOrLeaving(record, nowNanos))
                                 .filter(record -> !excluded.contains(record.id()))
                                 .collect(
                                         Collectors.groupingBy(
@@ -112,7 +122,7 @@
         long nowMillis = clock.millis();
         return lock.withLock(
                 () -> {
-                    List<EndpointState> eligible = eligible(request);
+                    List<EndpointState> eligible = eligible(request, nowNanos);
                     if (eligible.isEmpty()) {
                         return new Selection.NoneEligible();
                     }
@@ -179,17 +189,23 @@
         return cheapest;
     }
 
-    private List<EndpointState> eligible(SelectionRequest request) {
-        return states.values().stream().filter(state -> isEligible(state, request)).toList();
+    private List<EndpointState> eligible(SelectionRequest request, long nowNanos) {
+        return states.values().stream()
+                .filter(state -> isEligible(state, request, nowNanos))
+                .toList();
     }
 
-    private static boolean isEligible(EndpointState state, SelectionRequest request) {
+    private boolean isEligible(EndpointState state, SelectionRequest request, long nowNanos) {
         EndpointRecord record = state.record();
         return record.service().equals(request.service())
-                && !record.draining()
+                && !isDrainingOrLeaving(record, nowNanos)
                 && !request.excluded().contains(record.id());
     }
 
+    private boolean isDrainingOrLeaving(EndpointRecord record, long nowNanos) {
+        return record.draining() || leaving.isLeaving(Incarnation.of(record), nowNanos);
+    }
+
     /**
      * Returns the median latency of a service, 0 without samples. Endpoints at a rate limit count
      * only if all have one: they are nearly idle, so that others would seem slow beside them.
@@ -242,6 +258,23 @@
                 });
     }
 
+    /**
+     * Records that a response of an endpoint states that it is leaving. From then on, this start of
+     * the endpoint is treated as draining, whatever its registration says.
+     *
+     * @param endpoint the registration by which the endpoint was selected
+     * @return whether this was not known before
+     */
+    public boolean recordLeaving(EndpointRecord endpoint, long nowNanos) {
+        return lock.withLock(
+                () -> leaving.add(Incarnation.of(endpoint), this::isRegistered, nowNanos));
+    }
+
+    private boolean isRegistered(Incarnation incarnation) {
+        EndpointState state = states.get(incarnation.id());
+        return state != null && Incarnation.of(state.record()).equals(incarnation);
+    }
+
     /**
      * Stops counting a call as in flight. Called once for each endpoint that {@link #select}
      * returned, when the attempt has ended: a stream uses its slot until its last event.
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
@@ -21,6 +21,8 @@
      */
     record RateLimited(Duration expectedWait) implements Selection {}
 
-    /** No endpoint is eligible: each one is draining or excluded, or none is registered. */
+    /**
+     * No endpoint is eligible: each one is draining, leaving or excluded, or none is registered.
+     */
     record NoneEligible() implements Selection {}
 }
