--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
@@ -199,8 +199,7 @@
             }
             fleet.run(100, Duration.ofSeconds(4));
             long latestMillis = RESERVATION_TIMEOUT.toMillis() / 2;
-            long late =
-                    refusedAfterMillis.stream().filter(millis -> millis > latestMillis).count();
+            long late = refusedAfterMillis.stream().filter(millis -> millis > latestMillis).count();
             long atOnce = refusedAfterMillis.stream().filter(millis -> millis == 0).count();
             assertTrue(refusedAfterMillis.size() > 50, "refused " + refusedAfterMillis.size());
             assertEquals(late, 0, "refused late: " + refusedAfterMillis);
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -11,6 +11,8 @@
 
 /** The metrics of one host process. Thread-safe. */
 public final class HostMetrics {
+    private static final String PREFIX = "tamarackfold_";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter calls;
     private final Counter attempts;
@@ -25,64 +27,55 @@
 
     /** Creates and registers the metrics; each instance has a registry of its own. */
     public HostMetrics() {
-        calls =
-                Counter.builder()
-                        .name("tamarackfold_calls")
-                        .help("Calls by route and outcome.")
-                        .labelNames("route", "outcome")
-                        .register(registry);
+        calls = counter("calls", "Calls by route and outcome.", "route", "outcome");
         attempts =
-                Counter.builder()
-                        .name("tamarackfold_attempts")
-                        .help("Attempts at endpoints by service and outcome.")
-                        .labelNames("service", "outcome")
-                        .register(registry);
+                counter(
+                        "attempts",
+                        "Attempts at endpoints by service and outcome.",
+                        "service",
+                        "outcome");
         limitedAttempts =
-                Counter.builder()
-                        .name("tamarackfold_limited_attempts")
-                        .help("Attempts at endpoints that state a rate limit, by service.")
-                        .labelNames("service")
-                        .register(registry);
+                counter(
+                        "limited_attempts",
+                        "Attempts at endpoints that state a rate limit, by service.",
+                        "service");
         rateLimitedSelections =
-                Counter.builder()
-                        .name("tamarackfold_rate_limited_selections")
-                        .help(
-                                "Selections that found all endpoints at their rate limit, by service.")
-                        .labelNames("service")
-                        .register(registry);
+                counter(
+                        "rate_limited_selections",
+                        "Selections that found all endpoints at their rate limit, by service.",
+                        "service");
         callsInStop =
-                Counter.builder()
-                        .name("tamarackfold_calls_in_stop")
-                        .help("Calls during a planned stop of this host, by what became of them.")
-                        .labelNames("result")
-                        .register(registry);
+                counter(
+                        "calls_in_stop",
+                        "Calls during a planned stop of this host, by what became of them.",
+                        "result");
         keyValueCalls =
-                Counter.builder()
-                        .name("tamarackfold_key_value_calls")
-                        .help("Calls to the key-value service by operation and outcome.")
-                        .labelNames("operation", "outcome")
-                        .register(registry);
+                counter(
+                        "key_value_calls",
+                        "Calls to the key-value service by operation and outcome.",
+                        "operation",
+                        "outcome");
         peerCalls =
-                Counter.builder()
-                        .name("tamarackfold_peer_calls")
-                        .help("Calls to other hosts by operation and outcome.")
-                        .labelNames("operation", "outcome")
-                        .register(registry);
+                counter(
+                        "peer_calls",
+                        "Calls to other hosts by operation and outcome.",
+                        "operation",
+                        "outcome");
         openPeerRequests =
                 Gauge.builder()
-                        .name("tamarackfold_open_peer_requests")
+                        .name(PREFIX + "open_peer_requests")
                         .help("Requests to other hosts that wait for a reply.")
                         .register(registry);
         eventLoopDelay =
                 Histogram.builder()
-                        .name("tamarackfold_event_loop_delay_seconds")
+                        .name(PREFIX + "event_loop_delay_seconds")
                         .help("How late a periodic timer runs on the I/O thread.")
                         .classicOnly()
                         .classicUpperBounds(.005, .02, .05, .1, .2, .4, .8, 1.6, 3.2)
                         .register(registry);
         callLatency =
                 Histogram.builder()
-                        .name("tamarackfold_call_seconds")
+                        .name(PREFIX + "call_seconds")
                         .help("Time from the arrival of a call to the end of its answer.")
                         .labelNames("route")
                         .classicOnly()
@@ -90,6 +83,14 @@
                         .register(registry);
     }
 
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .labelNames(labels)
+                .register(registry);
+    }
+
     /**
      * Counts a finished call and records its latency.
      *
