Count members of a new view as complete only from its adoption on

What callers saw: a turn that had been confirmed was answered as unknown, for good, and once a budget was exceeded.

Cause: after a layout write, the primary marked all members of the new view as holding all records. It did so when the write and all its retries were done, but the view is in force from its adoption, which a watch may bring seconds earlier while the response is missing. A record confirmed in between by the primary and one other member left a third member behind, which then counted as complete: it was not copied to before that member became the primary, and the new primary stated the turn as absent.

Change: the primary notes the view that it has prepared before it writes the layout, and starts the count of missing acknowledgements with the adoption.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -10,6 +10,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.StoreId;
+import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixWatcher;
 import org.tamarackfold.keyvalue.WatchTiming;
@@ -40,8 +41,13 @@
     final LayoutHolder entryLayouts = new LayoutHolder();
     final HistoryClient client;
     final List<SimulatedHost> hosts = new ArrayList<>();
+
+    /** Hosts that an operator retires; known to every process that starts. */
+    final List<HostId> retiring = new ArrayList<>();
+
     private final LayoutPlanner planner;
     private int storesCreated;
+    private int hostsCreated;
 
     StorageCluster(int hostCount, LayoutPlanner planner, long seed) {
         this.planner = planner;
@@ -57,14 +63,29 @@
                                 scheduler,
                                 random),
                         scheduler);
-        watchSharedState(entryHostTable, entryLayouts::adoptIfNewer, "none", () -> {}, scheduler);
+        watchSharedState(
+                keyValue, entryHostTable, entryLayouts::adoptIfNewer, "none", () -> {}, scheduler);
         for (int index = 0; index < hostCount; index++) {
-            SimulatedHost host = new SimulatedHost(index);
-            hosts.add(host);
-            host.start();
+            addHost();
         }
     }
 
+    /** Adds and starts a host with an empty disk at a new address. */
+    SimulatedHost addHost() {
+        SimulatedHost host = new SimulatedHost(hostsCreated++);
+        hosts.add(host);
+        host.start();
+        return host;
+    }
+
+    /** Marks a host as retired by an operator on all hosts. */
+    void retire(HostId host) {
+        retiring.add(host);
+        hosts.stream()
+                .filter(SimulatedHost::isRunning)
+                .forEach(other -> other.hostTable.setDraining(host, true));
+    }
+
     /** Starts a cluster and advances the time until the initial layout has been adopted. */
     static StorageCluster withLayout(int hostCount, int toleratedLosses, long seed) {
         StorageCluster cluster =
@@ -105,6 +126,7 @@
     }
 
     private void watchSharedState(
+            KeyValueService service,
             HostTable hostTable,
             Consumer<LayoutHolder.VersionedLayout> onLayout,
             String ownKey,
@@ -113,7 +135,7 @@
         SharedStateListener listener =
                 new SharedStateListener(hostTable, codec, onLayout, ownKey, onOwnKeyRemoved);
         new PrefixWatcher(
-                        keyValue,
+                        service,
                         SharedKeys.ROOT,
                         listener,
                         () -> WATCH_TIMING,
@@ -129,29 +151,9 @@
         private final int index;
         MemoryRecordLog log = new MemoryRecordLog(scheduler, SYNC_TIME);
         StorageHost storageHost;
-        private ProcessScheduler process;
+        private SimulatedProcess process;
         HostTable hostTable;
-
-        /** The scheduler of one process of the host; it drops the timers when the process ends. */
-        private final class ProcessScheduler implements Scheduler {
-            private boolean ended;
-
-            @Override
-            public long nanoTime() {
-                return scheduler.nanoTime();
-            }
-
-            @Override
-            public void after(Duration delay, Runnable action) {
-                scheduler.after(
-                        delay,
-                        () -> {
-                            if (!ended) {
-                                action.run();
-                            }
-                        });
-            }
-        }
+        private LayoutHolder layouts;
 
         SimulatedHost(int index) {
             this.index = index;
@@ -170,10 +172,21 @@
             return process != null;
         }
 
+        /** Returns whether this host is a member of a shard, as far as its process knows. */
+        boolean holdsShards() {
+            return layouts.current()
+                    .forAll(
+                            versioned ->
+                                    versioned
+                                            .layout()
+                                            .views()
+                                            .exists(view -> view.contains(storageHost.store())));
+        }
+
         /** Ends the process; what it has appended to the log still becomes durable. */
         void kill() {
             if (process != null) {
-                process.ended = true;
+                process.end();
                 process = null;
                 network.detach(storageHost.address());
             }
@@ -197,24 +210,28 @@
             if (process != null) {
                 return;
             }
-            process = new ProcessScheduler();
+            process = new SimulatedProcess(scheduler);
+            KeyValueService service = process.keyValue(keyValue);
+            RecordLog processLog = process.log(log);
             hostTable = new HostTable();
+            retiring.forEach(host -> hostTable.setDraining(host, true));
+            layouts = new LayoutHolder();
             ShardTable shards = new ShardTable(storageHost.store());
             log.replay(shards::restore);
-            PeerChannel channel = network.channelOf(storageHost.address());
+            PeerChannel channel = process.channel(network.channelOf(storageHost.address()));
             FailureDetector failureDetector =
                     new FailureDetector(storageHost.host(), channel, process);
             LayoutManager manager =
                     LayoutManager.builder()
                             .self(storageHost)
-                            .service(keyValue)
+                            .service(service)
                             .codec(codec)
-                            .layouts(new LayoutHolder())
+                            .layouts(layouts)
                             .hostTable(hostTable)
                             .failureDetector(failureDetector)
                             .shards(shards)
                             .planner(planner)
-                            .log(log)
+                            .log(processLog)
                             .channel(channel)
                             .scheduler(process)
                             .build();
@@ -224,16 +241,20 @@
                             storageHost,
                             planner.writeQuorum(),
                             shards,
-                            log,
+                            processLog,
                             channel,
                             process,
                             scheduler));
             String key = SharedKeys.storageHost(storageHost.host());
             LeasedKey registration =
-                    new LeasedKey(
-                            keyValue, key, codec.encode(storageHost), LEASE_DURATION, process);
+                    new LeasedKey(service, key, codec.encode(storageHost), LEASE_DURATION, process);
             watchSharedState(
-                    hostTable, manager::onLayoutRead, key, registration::rewriteKey, process);
+                    service,
+                    hostTable,
+                    manager::onLayoutRead,
+                    key,
+                    registration::rewriteKey,
+                    process);
             registration.start();
             failureDetector.start();
             manager.start();
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LayoutManager.java
@@ -204,14 +204,14 @@
         if (views.isEmpty()) {
             return CompletableFuture.completedFuture(false);
         }
+        changes.reject(LayoutPlanner.Change::hasSameMembers)
+                .map(LayoutPlanner.Change::next)
+                .filter(views::contains)
+                .forEach(shards::markPrepared);
         return writer.publish(versioned, views)
                 .thenApply(
                         unused -> {
                             views.forEach(view -> clearChangeState(view.shard()));
-                            changes.reject(LayoutPlanner.Change::hasSameMembers)
-                                    .map(LayoutPlanner.Change::next)
-                                    .filter(views::contains)
-                                    .forEach(shards::markAllComplete);
                             return true;
                         });
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -69,6 +69,9 @@
         /** Hosts that must acknowledge each new record because of a change of the view. */
         private Set<StorageHost> requiredReceivers = HashSet.empty();
 
+        /** Next view that this host has prepared: all its members hold all records. */
+        private Option<View> preparedView = Option.none();
+
         void endEpoch(Epoch epoch) {
             endedEpoch = max(endedEpoch, epoch);
             loggedEndedEpoch = max(loggedEndedEpoch, epoch);
@@ -181,9 +184,11 @@
         shard.collectedBatches = Vector.empty();
         // If this host holds no records, every member counts as complete: a record that the
         // primary lacks was never confirmed.
+        boolean complete = shard.records.size() == 0 || shard.preparedView.contains(view);
         Set<StorageHost> completeMembers =
-                shard.records.size() == 0 ? HashSet.ofAll(view.members()) : HashSet.empty();
+                complete ? HashSet.ofAll(view.members()) : HashSet.empty();
         shard.progress.startEpoch(view.epoch(), completeMembers.map(StorageHost::store));
+        shard.preparedView = Option.none();
         shard.highestEpoch = max(shard.highestEpoch, view.epoch());
     }
 
@@ -204,18 +209,12 @@
     }
 
     /**
-     * Marks all members of a view as holding all records; ignored if it is not the current view.
+     * Notes that all members of the next view hold all records and will receive all further ones of
+     * the current epoch. They count as complete from the moment at which the view is adopted:
+     * records confirmed after it may be missing on some of them.
      */
-    void markAllComplete(View view) {
-        lock.run(
-                () -> {
-                    Shard shard = shard(view.shard());
-                    if (view.equals(shard.view)) {
-                        shard.progress.startEpoch(
-                                view.epoch(),
-                                HashSet.ofAll(view.members()).map(StorageHost::store));
-                    }
-                });
+    void markPrepared(View next) {
+        lock.run(() -> shard(next.shard()).preparedView = Option.some(next));
     }
 
     /**
@@ -267,9 +266,17 @@
                 });
     }
 
-    /** Ends the effect of {@link #setRequiredReceivers}, after a change was made or abandoned. */
+    /**
+     * Ends the effect of {@link #setRequiredReceivers} and {@link #markPrepared}, after a change
+     * was made or abandoned.
+     */
     void clearRequiredReceivers(ShardId id) {
-        lock.run(() -> shard(id).requiredReceivers = HashSet.empty());
+        lock.run(
+                () -> {
+                    Shard shard = shard(id);
+                    shard.requiredReceivers = HashSet.empty();
+                    shard.preparedView = Option.none();
+                });
     }
 
     /** Returns the hosts to which new records of a shard must be sent. */
