Skip keys that name no endpoint in the listing of registrations

What callers would see: no service at all after a fault of all hosts. A key of another writer among the registrations of endpoints whose last part is no valid id (empty, with a space, over 128 characters) held every entry host that started after it back for ever: the listing failed at that key, and a host is ready only after its first listing. Running hosts were not affected, as they skipped the key as a single change; they missed the removals of a new listing.

Cause: one malformed item failed the whole listing; values were contained item by item, keys were not.

Evidence: RestartTest.MalformedKeys.startedHostReadsTheOtherRegistrations failed before (hasListing false).

Ruled out: malformed values (nesting, large numbers, ports out of range) are rejected as a whole and contained by the decoder.

Checked: RestartTest passes.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/RestartTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/RestartTest.java
@@ -194,6 +194,40 @@
         }
     }
 
+    /** Keys of another writer among the registrations of endpoints, which name no endpoint. */
+    public static final class MalformedKeys extends Fixture {
+        private static final byte[] VALUE =
+                "a 10.0.0.1:80 a 4 false".getBytes(StandardCharsets.UTF_8);
+
+        private void writeMalformedKeys() {
+            for (String id : new String[] {"", "a b", "../up", "a".repeat(150)}) {
+                write(new KeyValueService.Put(adapter.endpointPrefix() + id, VALUE, 0));
+            }
+        }
+
+        /**
+         * Guards against entry hosts that never become ready again: a running host skipped the key
+         * as a change, but the first listing of a started one failed at it.
+         */
+        @Test
+        public void startedHostReadsTheOtherRegistrations() {
+            writeMalformedKeys();
+            startHost();
+            assertTrue(endpointListener.hasListing());
+            assertEquals(endpoints.ids(), Set.of(new EndpointId("engine-1")));
+        }
+
+        /** Guards against a running host that misses changes beside such a key. */
+        @Test
+        public void runningHostFollowsTheOtherRegistrations() {
+            writeMalformedKeys();
+            remove(registration("engine-1").key(), adapter.endpointPrefix() + "a b");
+            write(registration("engine-2"));
+            advance(1_000);
+            assertEquals(endpoints.ids(), Set.of(new EndpointId("engine-2")));
+        }
+    }
+
     /** Changes that arrive late, or in an order of their own, while the host runs. */
     public static final class OlderState extends Fixture {
         /** Guards against a release that reverts to an older version. */
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EndpointListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EndpointListener.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.node.runtime;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import java.util.HashSet;
 import java.util.Set;
 import org.tamarackfold.adapter.PlatformAdapter;
@@ -36,8 +37,12 @@
     public void onListing(KeyValueService.Listing listing) {
         Set<EndpointId> registeredIds = new HashSet<>();
         for (KeyValueService.Item item : listing.items()) {
-            apply(item);
-            registeredIds.add(adapter.endpointOf(item.key()));
+            endpointOf(item.key())
+                    .peek(
+                            id -> {
+                                apply(id, item);
+                                registeredIds.add(id);
+                            });
         }
         registry.onListing(registeredIds);
         hasListing = true;
@@ -46,9 +51,10 @@
     @Override
     public void onChange(KeyValueService.Change change) {
         switch (change) {
-            case KeyValueService.Change.Written(KeyValueService.Item item) -> apply(item);
+            case KeyValueService.Change.Written(KeyValueService.Item item) ->
+                    endpointOf(item.key()).peek(id -> apply(id, item));
             case KeyValueService.Change.Removed(String key, long _) ->
-                    registry.onRemoved(adapter.endpointOf(key));
+                    endpointOf(key).peek(registry::onRemoved);
         }
     }
 
@@ -57,7 +63,20 @@
         registry.onServiceReachabilityChanged(reachable);
     }
 
-    private void apply(KeyValueService.Item item) {
+    /** Returns the endpoint that a key names; none for a key of another writer. */
+    private Option<EndpointId> endpointOf(String key) {
+        try {
+            return Option.some(adapter.endpointOf(key));
+        } catch (IllegalArgumentException e) {
+            LOG.event("registration_malformed")
+                    .with("key", key)
+                    .with("reason", e.getMessage())
+                    .warn();
+            return Option.none();
+        }
+    }
+
+    private void apply(EndpointId id, KeyValueService.Item item) {
         Either<String, EndpointRecord> decoded = adapter.decodeEndpoint(item.key(), item.value());
         if (decoded.isRight()) {
             registry.onRegistered(decoded.get());
@@ -68,6 +87,6 @@
                 .with("revision", item.revision())
                 .with("reason", decoded.getLeft())
                 .warn();
-        registry.onMalformed(adapter.endpointOf(item.key()));
+        registry.onMalformed(id);
     }
 }
