Complete a retirement only when stores that the host has lost are replaced

What callers would see: lost turns, or shards without service for good. A storage host that loses its disk while it is being retired restarts with a new store, which is a member of no shard, and reported its retirement as completed at once. Its shards still counted on the lost store and had one copy less; on that report the operator may remove the host and the disk of another one.

Cause: the host looked for its present store in the layout, not for itself.

--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/RetirementListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/RetirementListener.java
@@ -9,6 +9,7 @@
 import org.tamarackfold.keyvalue.PrefixWatcher;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.peer.StorageHost;
+import org.tamarackfold.peer.View;
 
 /**
  * Marks the storage hosts that operators ask to retire, and reports the progress of this host's own
@@ -78,7 +79,10 @@
         reportStatus();
     }
 
-    /** Returns whether this host is a member of any shard of the current layout. */
+    /**
+     * Returns whether this host is a member of any shard of the current layout, with its store or
+     * with one that it has lost: until a lost store is replaced, its shards lack a copy.
+     */
     boolean holdsShards() {
         return components
                 .layouts()
@@ -88,7 +92,8 @@
                                 versioned
                                         .layout()
                                         .views()
-                                        .exists(view -> view.contains(self.store())));
+                                        .flatMap(View::members)
+                                        .exists(member -> member.host().equals(self.host())));
     }
 
     private void reportStatus() {
