Log the software version at dispatch and which stream a call resumes

The logs of the incident of the mixed software versions could not tell whether a host ignores the version or does not know it. dispatch now shows the version that the endpoint has registered and the call that brought the first event of a resumed stream; endpoint_registered shows the version. Selection is unchanged.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
@@ -22,6 +22,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.node.runtime.EntryNode;
 import org.tamarackfold.node.runtime.Host;
@@ -122,7 +123,8 @@
                         new AvailabilityZone("zone-a"),
                         2,
                         false,
-                        0));
+                        0,
+                        SoftwareVersion.UNSTATED));
     }
 
     private HostSettings settings(HostRole role, String name) throws IOException {
--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
@@ -11,6 +11,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.operator.Release;
@@ -41,7 +42,8 @@
                         record.address().toString(),
                         record.zone().value(),
                         Integer.toString(record.slots()),
-                        Boolean.toString(record.draining()));
+                        Boolean.toString(record.draining()),
+                        record.version().value());
         return new KeyValueService.Put(
                 ENDPOINT_PREFIX + record.id(), text.getBytes(StandardCharsets.UTF_8), 0);
     }
@@ -97,8 +99,8 @@
     @Override
     public Either<String, EndpointRecord> decodeEndpoint(String key, byte[] value) {
         String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
-        if (fields.length != 5) {
-            return Either.left("expected 5 fields, found " + fields.length);
+        if (fields.length < 5 || fields.length > 6) {
+            return Either.left("expected 5 or 6 fields, found " + fields.length);
         }
         try {
             return Either.right(
@@ -109,12 +111,18 @@
                             new AvailabilityZone(fields[2]),
                             Integer.parseInt(fields[3]),
                             Boolean.parseBoolean(fields[4]),
-                            0));
+                            0,
+                            version(fields)));
         } catch (IllegalArgumentException e) {
             return Either.left(String.valueOf(e.getMessage()));
         }
     }
 
+    /** Returns the last field, which is absent when the endpoint states no version. */
+    private static SoftwareVersion version(String[] fields) {
+        return fields.length == 6 ? new SoftwareVersion(fields[5]) : SoftwareVersion.UNSTATED;
+    }
+
     @Override
     public String readinessPath() {
         return "/ready";
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -30,6 +30,7 @@
 import org.tamarackfold.id.ReleaseVersion;
 import org.tamarackfold.id.RouteName;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.operator.CallSemantics;
 import org.tamarackfold.operator.CallerLimits;
@@ -92,7 +93,8 @@
                             new AvailabilityZone("a"),
                             4,
                             false,
-                            1));
+                            1,
+                            SoftwareVersion.UNSTATED));
         }
         CallDependencies dependencies =
                 new CallDependencies(
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/AffinityPreferenceTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/AffinityPreferenceTest.java
@@ -17,6 +17,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -55,7 +56,16 @@
                 ids.add(id);
                 Address address = new Address("10.0.0." + (i + 1), 80);
                 AvailabilityZone zone = new AvailabilityZone("a");
-                table.put(new EndpointRecord(id, SERVICE, address, zone, 12, false, 1));
+                table.put(
+                        new EndpointRecord(
+                                id,
+                                SERVICE,
+                                address,
+                                zone,
+                                12,
+                                false,
+                                1,
+                                SoftwareVersion.UNSTATED));
             }
         }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointRegistryTest.java
@@ -8,6 +8,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.standin.VirtualScheduler;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -44,7 +45,8 @@
                     new AvailabilityZone("a"),
                     4,
                     false,
-                    1);
+                    1,
+                    SoftwareVersion.UNSTATED);
         }
 
         void simulateOutage(long outageMillis) {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
@@ -12,6 +12,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -40,7 +41,8 @@
                                 new AvailabilityZone("a"),
                                 SLOTS,
                                 false,
-                                1));
+                                1,
+                                SoftwareVersion.UNSTATED));
             }
         }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LimitedFleet.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LimitedFleet.java
@@ -13,6 +13,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 
 /**
  * Entry hosts before one endpoint that states a rate limit, in virtual time. Each host learns from
@@ -53,7 +54,16 @@
                             () -> Instant.ofEpochMilli(nowMillis + clockOffsetMillis));
             Address address = new Address("10.0.0.1", 80);
             AvailabilityZone zone = new AvailabilityZone("a");
-            table.put(new EndpointRecord(ENDPOINT, SERVICE, address, zone, 12, false, 1));
+            table.put(
+                    new EndpointRecord(
+                            ENDPOINT,
+                            SERVICE,
+                            address,
+                            zone,
+                            12,
+                            false,
+                            1,
+                            SoftwareVersion.UNSTATED));
         }
 
         void call() {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -18,6 +18,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.settings.HostRole;
 import org.tamarackfold.settings.HostSettings;
@@ -88,7 +89,8 @@
                     new AvailabilityZone("a"),
                     8,
                     false,
-                    0);
+                    0,
+                    SoftwareVersion.UNSTATED);
         }
 
         private static HostSettings settings() throws IOException {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/RestartTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/RestartTest.java
@@ -18,6 +18,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.keyvalue.PrefixWatcher;
@@ -106,7 +107,8 @@
                             new AvailabilityZone("a"),
                             4,
                             false,
-                            1));
+                            1,
+                            SoftwareVersion.UNSTATED));
         }
 
         KeyValueService.Put release(int version, String route) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/CallDescription.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/CallDescription.java
@@ -16,6 +16,7 @@
     private final Option<SessionId> session;
     private final Option<ProgramTurn> turn;
     private final Option<String> affinityKey;
+    private final Option<Resumption> resumption;
 
     private CallDescription(Builder builder) {
         this.id = Objects.requireNonNull(builder.id);
@@ -26,6 +27,7 @@
         this.session = builder.session;
         this.turn = builder.turn;
         this.affinityKey = builder.affinityKey;
+        this.resumption = builder.resumption;
     }
 
     /** Returns a builder; id, method, host and path are required. */
@@ -76,6 +78,11 @@
         return affinityKey;
     }
 
+    /** Returns which stream the call resumes; none for a call that starts anew. */
+    public Option<Resumption> resumption() {
+        return resumption;
+    }
+
     /** Builds a description; the optional fields are empty unless set. */
     public static final class Builder {
         private CallId id;
@@ -86,6 +93,7 @@
         private Option<SessionId> session = Option.none();
         private Option<ProgramTurn> turn = Option.none();
         private Option<String> affinityKey = Option.none();
+        private Option<Resumption> resumption = Option.none();
 
         private Builder() {}
 
@@ -137,6 +145,12 @@
             return this;
         }
 
+        /** Sets which stream the call resumes. */
+        public Builder resumption(Option<Resumption> value) {
+            resumption = value;
+            return this;
+        }
+
         /**
          * Creates the description.
          *
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDecoder.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDecoder.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.ProgramTurn;
+import org.tamarackfold.caller.Resumption;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.SessionId;
@@ -49,6 +50,7 @@
                 .session(headerValue(headers, headerNames.session()).map(SessionId::new))
                 .turn(turn(headers))
                 .affinityKey(affinityKey(headers))
+                .resumption(resumption(headers))
                 .build();
     }
 
@@ -89,6 +91,14 @@
                                         .map(CallDecoder::firstPart));
     }
 
+    private Option<Resumption> resumption(HeaderMap headers) {
+        Option<CallId> firstCall = headerValue(headers, headerNames.resumes()).map(CallId::new);
+        boolean resumes =
+                firstCall.isDefined()
+                        || headerValue(headers, headerNames.lastEventId()).isDefined();
+        return resumes ? Option.some(new Resumption(firstCall)) : Option.none();
+    }
+
     private static String firstPart(String parts) {
         int comma = parts.indexOf(',');
         return comma < 0 ? parts : parts.substring(0, comma);
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
@@ -22,6 +22,9 @@
  * @param notRun set in the response of an endpoint that has not run the call
  * @param rateLimit set in the responses of an endpoint that limits the calls a second that it takes
  *     from all hosts together
+ * @param lastEventId carries the id of the last event of a stream that the caller has received,
+ *     when it resumes the stream
+ * @param resumes carries the id of the call that brought the first event of a resumed stream
  * @param reserved headers that only entry hosts may set; removed from the requests of callers
  */
 public record CallHeaderNames(
@@ -37,6 +40,8 @@
         HttpString expectedEndpoint,
         HttpString notRun,
         HttpString rateLimit,
+        HttpString lastEventId,
+        HttpString resumes,
         Set<HttpString> reserved) {
     /** Header names of tamarackfold's own protocol; a platform adapter may use others. */
     public static final CallHeaderNames DEFAULT =
@@ -53,5 +58,7 @@
                     new HttpString("Expected-Endpoint"),
                     new HttpString("Not-Run"),
                     new HttpString("Rate-Limit"),
+                    new HttpString("Last-Event-Id"),
+                    new HttpString("Resumed-Call"),
                     HashSet.of(new HttpString("Expected-Endpoint")));
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -7,6 +7,7 @@
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.StatedRateLimit;
+import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ReleaseVersion;
 import org.tamarackfold.id.RouteName;
@@ -37,9 +38,19 @@
                         .with("route", route)
                         .with("release", release)
                         .with("endpoint", selected.endpoint().id())
+                        .with("version", selected.endpoint().version())
                         .with("in_flight", selected.inFlight())
                         .with("left_ms", remainingTime.toMillis());
         call.turn().forEach(turn -> line.with("program", turn.program()));
+        call.resumption()
+                .forEach(
+                        resumption ->
+                                line.with(
+                                        "resumes",
+                                        resumption
+                                                .firstCall()
+                                                .map(CallId::value)
+                                                .getOrElse("unnamed")));
         for (StatedRateLimit stated : selected.rateLimit()) {
             line.with("limit_per_s", stated.limit())
                     .with("limit_age_ms", stated.ageMillis(nowNanos));
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRecord.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRecord.java
@@ -4,6 +4,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 
 /**
  * Registration of an endpoint.
@@ -14,6 +15,8 @@
  * @param draining whether it is draining: it finishes its calls and accepts no new ones
  * @param startedAtMillis the start of its process, in milliseconds since the Unix epoch; 0 when
  *     unknown
+ * @param version the software that it runs; endpoints of several versions may serve beside each
+ *     other
  */
 public record EndpointRecord(
         EndpointId id,
@@ -22,4 +25,5 @@
         AvailabilityZone zone,
         int slots,
         boolean draining,
-        long startedAtMillis) {}
+        long startedAtMillis,
+        SoftwareVersion version) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointRegistry.java
@@ -76,6 +76,7 @@
                 .with("endpoint", record.id())
                 .with("service", record.service())
                 .with("address", record.address())
+                .with("version", record.version())
                 .with("leaving", record.draining())
                 .info();
     }
