Resume a stream only at the software version that began it

Cause: selection did not know the version of an endpoint, and no host knew where a stream had begun.

The version at which a resumable stream begins is now stored with the reservation of its turn, before an endpoint receives the call, so that it survives what reservations survive. A call that resumes reads the origin of the call that it names with its own reservation and goes to endpoints of that service and version only; it is refused at once when there is none. A new call that only another version can take records that version first. Before the first event is relayed, the registration of the endpoint is compared again.

New fields of records and messages are optional; hosts of earlier builds record and confirm no origin, and resumptions are refused then.

StreamOriginPolicyTest, StreamOriginsTest and EarlierBuildsTest test what did not exist.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -39,6 +39,8 @@
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
 import org.tamarackfold.operator.WeightedService;
+import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.TurnHistory;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.transport.IoRuntime;
@@ -48,7 +50,7 @@
 final class EntryFixture implements AutoCloseable {
     static final ServiceName SERVICE = new ServiceName("service");
 
-    final MemoryTurnHistory history = new MemoryTurnHistory();
+    final MemoryTurnHistory history;
     final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     final EndpointTable endpointTable;
     private final IoRuntime runtime;
@@ -79,22 +81,34 @@
             long maximumBodyBytes,
             Duration routeTimeout)
             throws IOException {
+        this(endpoints, endpointTable, maximumBodyBytes, routeTimeout, new MemoryTurnHistory());
+    }
+
+    /** Starts an entry host that uses the same endpoints and storage hosts as another one. */
+    EntryFixture(EntryFixture other) throws IOException {
+        this(
+                other.endpoints,
+                EndpointTables.ofSingleHost(),
+                100_000,
+                Duration.ofMillis(800),
+                other.history);
+    }
+
+    private EntryFixture(
+            List<ScriptedEndpoint> endpoints,
+            EndpointTable endpointTable,
+            long maximumBodyBytes,
+            Duration routeTimeout,
+            MemoryTurnHistory history)
+            throws IOException {
         this.endpointTable = endpointTable;
+        this.history = history;
         runtime = IoRuntime.start(1);
         ReleaseHolder releases = new ReleaseHolder();
         releases.adoptIfNewer(release(maximumBodyBytes, routeTimeout));
         for (int i = 0; i < endpoints.size(); i++) {
             this.endpoints.add(endpoints.get(i));
-            endpointTable.put(
-                    new EndpointRecord(
-                            new EndpointId("engine-" + i),
-                            SERVICE,
-                            endpoints.get(i).address(),
-                            new AvailabilityZone("a"),
-                            4,
-                            false,
-                            1,
-                            SoftwareVersion.UNSTATED));
+            register(i, SoftwareVersion.UNSTATED);
         }
         CallDependencies dependencies =
                 new CallDependencies(
@@ -115,6 +129,29 @@
         server.start();
     }
 
+    /** Registers an endpoint, or replaces its registration by one of another version. */
+    void register(int index, SoftwareVersion version) {
+        endpointTable.put(
+                new EndpointRecord(
+                        idOf(index),
+                        SERVICE,
+                        endpoints.get(index).address(),
+                        new AvailabilityZone("a"),
+                        4,
+                        false,
+                        1,
+                        version));
+    }
+
+    /** Removes the registration of an endpoint. */
+    void deregister(int index) {
+        endpointTable.remove(idOf(index));
+    }
+
+    private static EndpointId idOf(int index) {
+        return new EndpointId("engine-" + index);
+    }
+
     private static List<ScriptedEndpoint> startEndpoints(int count) throws IOException {
         List<ScriptedEndpoint> started = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -229,6 +266,12 @@
         return text.toString();
     }
 
+    /** Ends the entry host; its endpoints keep running. */
+    void stopHost() {
+        server.stop();
+        runtime.stop();
+    }
+
     @Override
     public void close() {
         endpoints.forEach(ScriptedEndpoint::close);
@@ -238,26 +281,60 @@
 
     /** In-memory turn history that grants every reservation by default and records settlements. */
     static final class MemoryTurnHistory implements TurnHistory {
+        /** The origins of streams by program and call. */
+        final java.util.Map<String, StreamOrigin> origins =
+                new java.util.concurrent.ConcurrentHashMap<>();
+
+        /** Whether storage hosts record origins; those of earlier versions do not. */
+        volatile boolean recordsOrigins = true;
+
+        /** Runs when a reservation is requested, after the version of the call was chosen. */
+        volatile Runnable onReservation = () -> {};
+
         final List<String> settlements = new CopyOnWriteArrayList<>();
         final List<String> storedTurns = new CopyOnWriteArrayList<>();
         final java.util.Map<CallId, byte[]> textByTurn =
                 new java.util.concurrent.ConcurrentHashMap<>();
-        volatile Reservation reservationResult = new Reservation.Granted();
+        volatile Reservation reservationResult = new Reservation.Granted(Option.none());
         volatile boolean storeSucceeds = true;
         volatile Duration reservationDelay = Duration.ZERO;
 
         @Override
         public CompletableFuture<Reservation> reserve(
-                ProgramId program, CallId call, long tokens, long budgetTokens, Duration timeout) {
+                ProgramId program,
+                CallId call,
+                long tokens,
+                long budgetTokens,
+                StreamStart stream,
+                Duration timeout) {
+            onReservation.run();
+            Option<StreamOrigin> origin =
+                    recordsOrigins ? origin(program, call, stream) : Option.none();
+            Reservation result =
+                    reservationResult instanceof Reservation.Granted
+                            ? new Reservation.Granted(origin)
+                            : reservationResult;
             if (reservationDelay.isZero()) {
-                return CompletableFuture.completedFuture(reservationResult);
+                return CompletableFuture.completedFuture(result);
             }
             return CompletableFuture.supplyAsync(
-                    () -> reservationResult,
+                    () -> result,
                     CompletableFuture.delayedExecutor(
                             reservationDelay.toMillis(), TimeUnit.MILLISECONDS));
         }
 
+        private Option<StreamOrigin> origin(ProgramId program, CallId call, StreamStart stream) {
+            return switch (stream) {
+                case StreamStart.Untracked() -> Option.none();
+                case StreamStart.Begins(StreamOrigin origin) -> {
+                    origins.put(program + " " + call, origin);
+                    yield Option.some(origin);
+                }
+                case StreamStart.Resumes(CallId firstCall) ->
+                        Option.of(origins.get(program + " " + firstCall));
+            };
+        }
+
         @Override
         public void settle(ProgramId program, CallId call, long tokens) {
             settlements.add(call + "=" + tokens);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationTest.java
@@ -69,6 +69,7 @@
                                 call,
                                 Workload.TURN_TOKENS,
                                 Workload.BUDGET,
+                                new StreamStart.Untracked(),
                                 Workload.REQUEST_TIMEOUT);
                 cluster.advance(200);
                 assertTrue(
@@ -119,6 +120,7 @@
                             new CallId(call),
                             tokens,
                             Workload.BUDGET,
+                            new StreamStart.Untracked(),
                             Workload.REQUEST_TIMEOUT);
             cluster.advance(200);
             return reserved.getNow(null);
@@ -138,6 +140,7 @@
                             call,
                             Workload.TURN_TOKENS,
                             Workload.BUDGET,
+                            new StreamStart.Untracked(),
                             Workload.REQUEST_TIMEOUT);
             cluster.advance(Workload.REQUEST_TIMEOUT.toMillis() + 1_000);
             assertTrue(
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/Workload.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/Workload.java
@@ -82,7 +82,13 @@
     void reserve(ProgramId program) {
         CallId turn = new CallId("reservation-" + nextTurn++);
         cluster.client
-                .reserve(program, turn, TURN_TOKENS, BUDGET, REQUEST_TIMEOUT)
+                .reserve(
+                        program,
+                        turn,
+                        TURN_TOKENS,
+                        BUDGET,
+                        new StreamStart.Untracked(),
+                        REQUEST_TIMEOUT)
                 .thenAccept(
                         result -> {
                             if (result instanceof TurnHistory.Reservation.Granted) {
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/thrift/EarlierBuildsTest.java
@@ -0,0 +1,101 @@
+package org.tamarackfold.peer.thrift;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vavr.control.Option;
+import java.util.HexFormat;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.SoftwareVersion;
+import org.tamarackfold.peer.PeerReply;
+import org.tamarackfold.peer.PeerRequest;
+import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.peer.StreamStart;
+import org.testng.annotations.Test;
+
+/**
+ * Records and messages of builds that know no origins of streams. Guards against hosts of two
+ * builds that cannot read each other, and against a log that a new build cannot load.
+ */
+public final class EarlierBuildsTest {
+    private EarlierBuildsTest() {}
+
+    private static final ProgramId PROGRAM = new ProgramId("p");
+    private static final CallId CALL = new CallId("c");
+    private static final Option<StreamOrigin> ORIGIN =
+            Option.some(new StreamOrigin(new ServiceName("s"), new SoftwareVersion("v1"), 2));
+
+    private static byte[] bytes(String hex) {
+        return HexFormat.of().parseHex(hex);
+    }
+
+    private static String hex(byte[] bytes) {
+        return HexFormat.of().formatHex(bytes);
+    }
+
+    /** Records of the log. */
+    public static final class Records {
+        private static final String EARLIER = "15041c2c180170180163162812" + "16d00f000000";
+
+        private static RecordCodec.LoggedRecord logged(Option<StreamOrigin> origin) {
+            return new RecordCodec.LoggedRecord(
+                    new ShardId(2),
+                    new StoredRecord.Charge(PROGRAM, CALL, 20, false, 1_000, origin));
+        }
+
+        /** Guards against an error on a charge without the field. */
+        @Test
+        public void chargeWithoutOrigin() {
+            assertEquals(RecordCodec.decode(bytes(EARLIER)), logged(Option.none()));
+            assertEquals(hex(RecordCodec.encode(logged(Option.none()))), EARLIER);
+        }
+
+        /** Guards against an origin that is lost in the log. */
+        @Test
+        public void chargeWithOrigin() {
+            assertEquals(RecordCodec.decode(RecordCodec.encode(logged(ORIGIN))), logged(ORIGIN));
+        }
+    }
+
+    /** Requests and replies. */
+    public static final class Messages {
+        private static final String EARLIER_RESERVE = "1c1502180170180163160216040000";
+        private static final String EARLIER_DONE = "1c0000";
+
+        private static PeerRequest reserve(StreamStart stream) {
+            return new PeerRequest.Reserve(new ShardId(1), PROGRAM, CALL, 1, 2, stream);
+        }
+
+        /** Guards against a reservation that an earlier build cannot read, or the reverse. */
+        @Test
+        public void reservationWithoutStream() {
+            PeerRequest request = reserve(new StreamStart.Untracked());
+            assertEquals(MessageCodec.decodeRequest(bytes(EARLIER_RESERVE)), request);
+            assertEquals(hex(MessageCodec.encode(request)), EARLIER_RESERVE);
+        }
+
+        /** Guards against a stream that is lost on its way, for example in a relay. */
+        @Test
+        public void reservationWithStream() {
+            for (StreamStart stream :
+                    new StreamStart[] {
+                        new StreamStart.Begins(ORIGIN.get()), new StreamStart.Resumes(CALL)
+                    }) {
+                PeerRequest request = reserve(stream);
+                assertEquals(MessageCodec.decodeRequest(MessageCodec.encode(request)), request);
+            }
+        }
+
+        /** Guards against a reply that is taken for the confirmation of an origin. */
+        @Test
+        public void replyWithoutOrigin() {
+            assertEquals(MessageCodec.decodeReply(bytes(EARLIER_DONE)), new PeerReply.Done());
+            assertEquals(hex(MessageCodec.encode(new PeerReply.Done())), EARLIER_DONE);
+            PeerReply reserved = new PeerReply.Reserved(ORIGIN.get());
+            assertEquals(MessageCodec.decodeReply(MessageCodec.encode(reserved)), reserved);
+        }
+    }
+}
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/MalformedInputTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/MalformedInputTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -13,7 +14,9 @@
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.id.ShardId;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.id.StoreId;
 import org.tamarackfold.peer.EntryHost;
 import org.tamarackfold.peer.Layout;
@@ -22,6 +25,8 @@
 import org.tamarackfold.peer.SharedStateCodec;
 import org.tamarackfold.peer.StorageHost;
 import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.View;
 import org.tamarackfold.peer.thrift.MessageCodec;
 import org.tamarackfold.peer.thrift.RecordCodec;
@@ -40,8 +45,11 @@
 
     private static final StoredRecord TURN =
             new StoredRecord.Turn(new CallId("turn-1"), new byte[40], 1_000);
+    private static final StreamOrigin ORIGIN =
+            new StreamOrigin(new ServiceName("s"), new SoftwareVersion("v1"), 1);
     private static final StoredRecord CHARGE =
-            new StoredRecord.Charge(new ProgramId("p"), new CallId("c"), 20, false, 1_000);
+            new StoredRecord.Charge(
+                    new ProgramId("p"), new CallId("c"), 20, false, 1_000, Option.some(ORIGIN));
     private static final StorageHost HOST =
             new StorageHost(
                     new HostId("storage-1"),
@@ -82,7 +90,12 @@
                     Vector.of(
                             new PeerRequest.Ping(new HostId("h")),
                             new PeerRequest.Reserve(
-                                    new ShardId(1), new ProgramId("p"), new CallId("c"), 1, 2),
+                                    new ShardId(1),
+                                    new ProgramId("p"),
+                                    new CallId("c"),
+                                    1,
+                                    2,
+                                    new StreamStart.Begins(ORIGIN)),
                             new PeerRequest.Append(
                                     new ShardId(1),
                                     new Epoch(3),
@@ -101,6 +114,7 @@
             Vector<PeerReply> replies =
                     Vector.of(
                             new PeerReply.Outstanding(),
+                            new PeerReply.Reserved(ORIGIN),
                             new PeerReply.Stale(new Epoch(4)),
                             new PeerReply.Alive(new StoreId("store-1")),
                             new PeerReply.Collected(Vector.of(TURN, CHARGE), 2));
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -32,12 +32,21 @@
   3: required i64 keepUntilMillis
 }
 
+// The software version at which an event stream began.
+struct StreamOriginStruct {
+  1: required string serviceName
+  2: required string version
+  3: required i32 attempt
+}
+
 struct ChargeStruct {
   1: required string program
   2: required string call
   3: required i64 tokens
   4: required bool settled
   5: required i64 keepUntilMillis
+  // Absent in records of earlier versions and of calls that begin no resumable stream.
+  6: optional StreamOriginStruct origin
 }
 
 struct EpochEndStruct {
@@ -61,6 +70,9 @@
   3: required string call
   4: required i64 tokens
   5: required i64 budgetTokens
+  // At most one of the following is set.
+  6: optional StreamOriginStruct begins
+  7: optional string resumes
 }
 
 struct SettleStruct {
@@ -131,8 +143,13 @@
   2: required i32 batches
 }
 
+struct DoneStruct {
+  // Absent in replies of earlier versions, which record no origins.
+  1: optional StreamOriginStruct origin
+}
+
 union ReplyStruct {
-  1: EmptyStruct done
+  1: DoneStruct done
   2: EmptyStruct exhausted
   3: binary found
   4: EmptyStruct absent
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -3,7 +3,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
-import io.vavr.collection.HashSet;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -19,11 +19,11 @@
 import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
-import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
-import org.tamarackfold.operator.WeightedService;
+import org.tamarackfold.peer.StreamOrigin;
 import org.tamarackfold.time.Durations;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
@@ -49,6 +49,7 @@
     private final TurnState turnState;
     private final RetryDelays retryDelays;
     private final CallLog callLog;
+    private final StreamVersions streamVersions;
 
     private byte[] body;
     private long deadlineNanos;
@@ -77,6 +78,8 @@
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
         this.callLog = new CallLog(dependencies.metrics(), call, route.name(), release.version());
+        this.streamVersions =
+                new StreamVersions(dependencies.endpoints(), call, route, turnState, callLog);
     }
 
     void onRequestBodyFailure(IOException error) {
@@ -107,44 +110,25 @@
                 exchange.getIoThread()
                         .executeAfter(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
-        selectionRequest = new SelectionRequest(selectService(), affinityKey(), HashSet.empty());
-        if (!turnState.usesTokenBudget()) {
+        selectionRequest = InitialSelection.of(call, route, dependencies.random().nextDouble());
+        if (!turnState.usesTokenBudget() && !route.callSemantics().isStream()) {
             dispatch();
             return;
         }
-        turnState
-                .prepare(remainingTime())
+        streamVersions
+                .prepare(selectionRequest, remainingTime())
                 .thenAcceptAsync(this::onTurnPrepared, exchange.getIoThread());
     }
 
-    /** All turns of a program prefer the same endpoint, because their prompts share a prefix. */
-    private Option<String> affinityKey() {
-        return call.turn()
-                .map(programTurn -> programTurn.program().value())
-                .orElse(call::affinityKey);
-    }
-
-    private ServiceName selectService() {
-        double totalWeight = route.services().map(WeightedService::weight).sum().doubleValue();
-        double remainingWeight = dependencies.random().nextDouble() * totalWeight;
-        for (WeightedService candidate : route.services()) {
-            remainingWeight -= candidate.weight();
-            if (remainingWeight < 0) {
-                return candidate.service();
-            }
-        }
-        return route.services().last().service();
-    }
-
     private void onTurnPrepared(TurnState.Preparation preparation) {
         if (finished) {
             turnState.settle();
             return;
         }
         switch (preparation) {
-            case TurnState.Preparation.Ready() -> {
+            case TurnState.Preparation.Ready(var origin) -> {
                 body = turnState.prependHistory(body);
-                dispatch();
+                dispatchAt(origin);
             }
             case TurnState.Preparation.BudgetSpent() -> respond(new LocalResponse.BudgetSpent());
             case TurnState.Preparation.NoSuchTurn() -> respond(new LocalResponse.NoSuchTurn());
@@ -152,6 +136,16 @@
         }
     }
 
+    /** Sends the call after its origin has been recorded, or that of its stream was read. */
+    private void dispatchAt(Option<StreamOrigin> origin) {
+        Option<String> refusal = streamVersions.afterReservation(origin);
+        if (refusal.isDefined()) {
+            apply(retryPolicy.whenNoFurtherAttempt(), refusal.get());
+            return;
+        }
+        dispatch();
+    }
+
     private void dispatch() {
         if (finished) {
             return;
@@ -161,8 +155,13 @@
             onDeadline();
             return;
         }
-        Selection selection = dependencies.endpoints().select(selectionRequest, nowNanos);
-        switch (selection) {
+        Either<SoftwareVersion, Selection> choice =
+                streamVersions.select(selectionRequest, nowNanos);
+        if (choice.isLeft()) {
+            recordVersion(choice.getLeft());
+            return;
+        }
+        switch (choice.get()) {
             case Selection.NoneEligible() ->
                     apply(retryPolicy.whenNoFurtherAttempt(), "no endpoint left");
             case Selection.RateLimited(Duration expectedWait) -> endRateLimited(expectedWait);
@@ -170,6 +169,24 @@
         }
     }
 
+    /** Records that the stream begins at another version before the call is sent there. */
+    private void recordVersion(SoftwareVersion version) {
+        streamVersions
+                .recordVersion(selectionRequest, version, remainingTime())
+                .thenAcceptAsync(this::onVersionRecorded, exchange.getIoThread());
+    }
+
+    private void onVersionRecorded(TurnState.Preparation preparation) {
+        if (finished) {
+            return;
+        }
+        if (preparation instanceof TurnState.Preparation.Ready(var origin)) {
+            dispatchAt(origin);
+            return;
+        }
+        apply(retryPolicy.whenNoFurtherAttempt(), "origin not recorded: " + preparation);
+    }
+
     /**
      * Ends a call for which the rate limits of all endpoints leave no place, at once: the endpoints
      * would not take it before the caller can come back.
@@ -191,12 +208,7 @@
         attempt = new EndpointAttempt(endpoint, call, dependencies, this);
         attemptStartedAtNanos = nowNanos;
         callLog.dispatched(selected, remainingTime(), nowNanos);
-        String query = exchange.getQueryString();
-        String pathAndQuery = query.isEmpty() ? call.path() : call.path() + '?' + query;
-        HeaderMap headers =
-                EndToEndHeaders.forEndpoint(
-                        exchange.getRequestHeaders(), dependencies.headerNames());
-        attempt.start(dependencies.client(), pathAndQuery, headers, body, remainingTime());
+        attempt.start(dependencies.client(), exchange, body, remainingTime());
     }
 
     /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
@@ -262,6 +274,13 @@
 
     @Override
     public void onResponseBody(ByteBuffer bytes) {
+        if (relay instanceof EventStreamRelay
+                && !relay.started()
+                && !streamVersions.mayRelay(attempt.endpoint())) {
+            attempt.cancel();
+            handleIncompleteResponse(endAttempt(), "endpoint restarted with another version");
+            return;
+        }
         relay.onBody(bytes);
         if (relay.isMalformed()) {
             attempt.cancel();
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.caller.Resumption;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.StatedRateLimit;
 import org.tamarackfold.id.CallId;
@@ -13,6 +14,7 @@
 import org.tamarackfold.id.RouteName;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.metrics.HostMetrics;
+import org.tamarackfold.peer.StreamOrigin;
 
 /** Records the decisions on one call and its end in the log and in the metrics. */
 final class CallLog {
@@ -42,15 +44,7 @@
                         .with("in_flight", selected.inFlight())
                         .with("left_ms", remainingTime.toMillis());
         call.turn().forEach(turn -> line.with("program", turn.program()));
-        call.resumption()
-                .forEach(
-                        resumption ->
-                                line.with(
-                                        "resumes",
-                                        resumption
-                                                .firstCall()
-                                                .map(CallId::value)
-                                                .getOrElse("unnamed")));
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
         for (StatedRateLimit stated : selected.rateLimit()) {
             line.with("limit_per_s", stated.limit())
                     .with("limit_age_ms", stated.ageMillis(nowNanos));
@@ -59,6 +53,29 @@
         line.info();
     }
 
+    /**
+     * Records the origin of a stream that a reservation has recorded or read, with the reason why
+     * the call is not sent, if so.
+     */
+    void streamOrigin(Option<StreamOrigin> origin, Option<String> refusal) {
+        if (origin.isEmpty() && refusal.isEmpty()) {
+            return;
+        }
+        StructuredLog.Line line = LOG.event("stream_origin").with("call", call.id());
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
+        origin.forEach(
+                known ->
+                        line.with("service", known.service())
+                                .with("version", known.version())
+                                .with("origin_attempt", known.attempt()));
+        refusal.forEach(reason -> line.with("refused", reason));
+        line.info();
+    }
+
+    private static String nameOf(Resumption resumption) {
+        return resumption.firstCall().map(CallId::value).getOrElse("unnamed");
+    }
+
     /** Records that an attempt ended without a response to relay. */
     void attemptFailed(EndpointId endpoint, AttemptOutcome outcome, String reason) {
         LOG.event("attempt_failed")
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.caller.http;
 
+import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HttpString;
 import io.vavr.control.Option;
@@ -76,15 +77,18 @@
     }
 
     /**
-     * Sends the call. The attempt has no timeout of its own after the connection is open: the call
-     * cancels it at the deadline, so that a single timer decides how the call ends.
+     * Sends the call that was received in an exchange, with the given body. The attempt has no
+     * timeout of its own after the connection is open: the call cancels it at the deadline, so that
+     * a single timer decides how the call ends.
      */
     void start(
             PooledHttpClient client,
-            String pathAndQuery,
-            HeaderMap headers,
+            HttpServerExchange exchange,
             byte[] body,
             Duration remainingTime) {
+        String query = exchange.getQueryString();
+        String pathAndQuery = query.isEmpty() ? call.path() : call.path() + '?' + query;
+        HeaderMap headers = EndToEndHeaders.forEndpoint(exchange.getRequestHeaders(), headerNames);
         headers.put(headerNames.deadline(), Long.toString(remainingTime.toMillis()));
         headers.put(headerNames.expectedEndpoint(), endpoint.id().value());
         HttpRequest request =
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -1,10 +1,15 @@
 package org.tamarackfold.caller.http;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.ProgramTurn;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.operator.Route;
+import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.TurnHistory;
 
 /** The token reservation and the stored history of one call, if it is a turn of a program. */
@@ -25,8 +30,12 @@
 
     /** Result of reserving tokens and reading the history before a turn runs. */
     sealed interface Preparation {
-        /** The tokens are reserved and the history is read; the turn may run. */
-        record Ready() implements Preparation {}
+        /**
+         * The tokens are reserved and the history is read; the turn may run.
+         *
+         * @param origin the origin of the stream that is recorded or was read
+         */
+        record Ready(Option<StreamOrigin> origin) implements Preparation {}
 
         /** The remaining token budget does not cover the turn. */
         record BudgetSpent() implements Preparation {}
@@ -58,20 +67,55 @@
         return usesTokenBudget() && route.keepsHistory();
     }
 
-    /** Reserves the tokens of the turn and reads the history of its parent; called once. */
-    CompletableFuture<Preparation> prepare(Duration remainingTime) {
-        ProgramTurn turn = call.turn().get();
-        Duration timeout = remainingTime.multipliedBy(PREPARATION_PERCENT).dividedBy(100);
-        reservationRequested = true;
-        CompletableFuture<TurnHistory.Reservation> reservation =
-                history.reserve(
-                        turn.program(),
-                        call.id(),
-                        turn.maximumTokens(),
-                        turn.budgetTokens(),
-                        timeout);
-        CompletableFuture<TurnHistory.Lookup> lookup = lookUp(turn, timeout);
-        return reservation.thenCombine(lookup, this::combineResults);
+    /**
+     * Reserves the tokens of the turn, records or reads the origin of its stream, and reads the
+     * history of its parent; called once.
+     */
+    CompletableFuture<Preparation> prepare(StreamStart stream, Duration remainingTime) {
+        if (!usesTokenBudget() && stream instanceof StreamStart.Untracked) {
+            return CompletableFuture.completedFuture(new Preparation.Ready(Option.none()));
+        }
+        CompletableFuture<TurnHistory.Lookup> lookup =
+                usesTokenBudget()
+                        ? lookUp(call.turn().get(), timeout(remainingTime))
+                        : CompletableFuture.completedFuture(
+                                new TurnHistory.Lookup.Found(parentHistory));
+        return reserve(stream, remainingTime).thenCombine(lookup, this::combineResults);
+    }
+
+    /** Records another origin of the stream, for the same turn. */
+    CompletableFuture<Preparation> recordOrigin(StreamStart stream, Duration remainingTime) {
+        return reserve(stream, remainingTime)
+                .thenApply(
+                        reservation ->
+                                combineResults(
+                                        reservation, new TurnHistory.Lookup.Found(parentHistory)));
+    }
+
+    private CompletableFuture<TurnHistory.Reservation> reserve(
+            StreamStart stream, Duration remainingTime) {
+        reservationRequested = usesTokenBudget();
+        ProgramTurn turn = usesTokenBudget() ? call.turn().get() : withoutBudget(stream);
+        return history.reserve(
+                turn.program(),
+                call.id(),
+                turn.maximumTokens(),
+                turn.budgetTokens(),
+                stream,
+                timeout(remainingTime));
+    }
+
+    /**
+     * Returns the turn under which the origin of a stream without token budget is kept: it forms a
+     * program of its own, named after the call that brought its first event.
+     */
+    private ProgramTurn withoutBudget(StreamStart stream) {
+        CallId firstCall = stream instanceof StreamStart.Resumes(CallId first) ? first : call.id();
+        return new ProgramTurn(new ProgramId(firstCall.value()), Option.none(), 0, 0);
+    }
+
+    private static Duration timeout(Duration remainingTime) {
+        return remainingTime.multipliedBy(PREPARATION_PERCENT).dividedBy(100);
     }
 
     private CompletableFuture<TurnHistory.Lookup> lookUp(ProgramTurn turn, Duration timeout) {
@@ -87,15 +131,16 @@
             case TurnHistory.Reservation.Exhausted() -> new Preparation.BudgetSpent();
             case TurnHistory.Reservation.Unavailable(String reason) ->
                     new Preparation.Unavailable("reservation: " + reason);
-            case TurnHistory.Reservation.Granted() -> fromLookup(lookup);
+            case TurnHistory.Reservation.Granted(Option<StreamOrigin> origin) ->
+                    fromLookup(lookup, origin);
         };
     }
 
-    private Preparation fromLookup(TurnHistory.Lookup lookup) {
+    private Preparation fromLookup(TurnHistory.Lookup lookup, Option<StreamOrigin> origin) {
         return switch (lookup) {
             case TurnHistory.Lookup.Found(byte[] text) -> {
                 parentHistory = text;
-                yield new Preparation.Ready();
+                yield new Preparation.Ready(origin);
             }
             case TurnHistory.Lookup.Absent() -> new Preparation.NoSuchTurn();
             case TurnHistory.Lookup.Unavailable(String reason) ->
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -13,6 +13,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.table.LockRank;
 import org.tamarackfold.table.TableLock;
 
@@ -116,23 +117,58 @@
                     if (eligible.isEmpty()) {
                         return new Selection.NoneEligible();
                     }
-                    List<EndpointState> open =
-                            eligible.stream()
-                                    .filter(state -> state.mayReceiveCall(shares, nowMillis))
-                                    .toList();
-                    CallRate rate =
-                            rates.computeIfAbsent(request.service(), service -> new CallRate());
-                    rate.count(nowNanos);
+                    List<EndpointState> open = open(eligible, shares, nowMillis);
+                    rate(request.service()).count(nowNanos);
                     if (open.isEmpty()) {
                         return new Selection.RateLimited(expectedWait(eligible, shares));
                     }
-                    AffinityPreference preference =
-                            new AffinityPreference(
-                                    eligible, shares.ownShare(), rate.perSecond(nowNanos));
-                    return selectFrom(open, preference, request, nowNanos);
+                    EndpointState picked = pick(eligible, open, shares, request, nowNanos);
+                    picked.countSentCall();
+                    return new Selection.Selected(
+                            picked.record(), picked.inFlight(), picked.rateLimit());
                 });
     }
 
+    private CallRate rate(ServiceName service) {
+        return rates.computeIfAbsent(service, unused -> new CallRate());
+    }
+
+    /**
+     * Returns the software version of the endpoint that {@link #select} would select, without
+     * counting a call there; none when it would select none.
+     */
+    public Option<SoftwareVersion> versionToSelect(SelectionRequest request, long nowNanos) {
+        HostShares shares = fleet.shares();
+        long nowMillis = clock.millis();
+        return lock.withLock(
+                () -> {
+                    List<EndpointState> eligible = eligible(request);
+                    List<EndpointState> open = open(eligible, shares, nowMillis);
+                    return open.isEmpty()
+                            ? Option.none()
+                            : Option.some(
+                                    pick(eligible, open, shares, request, nowNanos)
+                                            .record()
+                                            .version());
+                });
+    }
+
+    /** Returns the software versions of all endpoints of a service, also draining ones. */
+    public Set<SoftwareVersion> versions(ServiceName service) {
+        return lock.withLock(
+                () ->
+                        states.values().stream()
+                                .map(EndpointState::record)
+                                .filter(record -> record.service().equals(service))
+                                .map(EndpointRecord::version)
+                                .collect(Collectors.toUnmodifiableSet()));
+    }
+
+    private static List<EndpointState> open(
+            List<EndpointState> eligible, HostShares shares, long nowMillis) {
+        return eligible.stream().filter(state -> state.mayReceiveCall(shares, nowMillis)).toList();
+    }
+
     /** Returns the mean time between the permits of this host at rate-limited endpoints. */
     private static Duration expectedWait(List<EndpointState> limited, HostShares shares) {
         double ownCallsPerSecond =
@@ -141,18 +177,20 @@
         return Duration.ofMillis((long) (1_000 / ownCallsPerSecond));
     }
 
-    private Selection selectFrom(
+    private EndpointState pick(
+            List<EndpointState> eligible,
             List<EndpointState> open,
-            AffinityPreference preference,
+            HostShares shares,
             SelectionRequest request,
             long nowNanos) {
+        AffinityPreference preference =
+                new AffinityPreference(
+                        eligible, shares.ownShare(), rate(request.service()).perSecond(nowNanos));
         double medianLatencyMillis = medianLatencyMillis(request.service());
         Predicate<EndpointState> usable = state -> !state.isInBackoff(nowNanos);
         Option<EndpointState> preferred =
                 request.affinityKey().flatMap(key -> preference.preferred(key, open, usable));
-        EndpointState cheapest = cheapest(open, preferred, medianLatencyMillis, nowNanos);
-        cheapest.countSentCall();
-        return new Selection.Selected(cheapest.record(), cheapest.inFlight(), cheapest.rateLimit());
+        return cheapest(open, preferred, medianLatencyMillis, nowNanos);
     }
 
     private EndpointState cheapest(
@@ -187,7 +225,8 @@
         EndpointRecord record = state.record();
         return record.service().equals(request.service())
                 && !record.draining()
-                && !request.excluded().contains(record.id());
+                && !request.excluded().contains(record.id())
+                && request.version().forAll(record.version()::equals);
     }
 
     /**
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/SelectionRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/SelectionRequest.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 
 /**
  * Criteria for the selection of an endpoint.
@@ -12,11 +13,28 @@
  * @param affinityKey calls with the same key prefer the same endpoint while its load allows; none
  *     without preference
  * @param excluded endpoints that must not be selected, because the call was tried there
+ * @param version the software version that the endpoint must run; none for any
  */
 public record SelectionRequest(
-        ServiceName service, Option<String> affinityKey, Set<EndpointId> excluded) {
+        ServiceName service,
+        Option<String> affinityKey,
+        Set<EndpointId> excluded,
+        Option<SoftwareVersion> version) {
+    /** Creates a request for an endpoint of any software version. */
+    public SelectionRequest(
+            ServiceName service, Option<String> affinityKey, Set<EndpointId> excluded) {
+        this(service, affinityKey, excluded, Option.none());
+    }
+
     /** Returns a copy of this request that also excludes the given endpoint. */
     public SelectionRequest excluding(EndpointId endpoint) {
-        return new SelectionRequest(service, affinityKey, excluded.add(endpoint));
+        return new SelectionRequest(service, affinityKey, excluded.add(endpoint), version);
+    }
+
+    /** Returns a copy of this request for endpoints of the given service and software version. */
+    public SelectionRequest requiring(
+            ServiceName requiredService, SoftwareVersion requiredVersion) {
+        return new SelectionRequest(
+                requiredService, affinityKey, excluded, Option.some(requiredVersion));
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -91,6 +91,7 @@
                     PeerReply.Stale _ ->
                     retry(pending);
             case PeerReply.Done(),
+                    PeerReply.Reserved _,
                     PeerReply.Exhausted(),
                     PeerReply.Outstanding(),
                     PeerReply.Found(byte[] _),
@@ -106,18 +107,26 @@
 
     @Override
     public CompletableFuture<Reservation> reserve(
-            ProgramId program, CallId turn, long tokens, long budgetTokens, Duration timeout) {
+            ProgramId program,
+            CallId turn,
+            long tokens,
+            long budgetTokens,
+            StreamStart stream,
+            Duration timeout) {
         return sendToPrimary(
                         layout -> layout.shardOf(program),
                         shard ->
-                                new PeerRequest.Reserve(shard, program, turn, tokens, budgetTokens),
+                                new PeerRequest.Reserve(
+                                        shard, program, turn, tokens, budgetTokens, stream),
                         timeout)
                 .thenApply(HistoryClient::toReservation);
     }
 
     private static Reservation toReservation(PeerReply reply) {
         return switch (reply) {
-            case PeerReply.Done() -> new Reservation.Granted();
+            case PeerReply.Done() -> new Reservation.Granted(Option.none());
+            case PeerReply.Reserved(StreamOrigin origin) ->
+                    new Reservation.Granted(Option.some(origin));
             case PeerReply.Exhausted() -> new Reservation.Exhausted();
             case PeerReply.Outstanding() ->
                     new Reservation.Unavailable("unfinished turns hold the rest of the budget");
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerReply.java
@@ -9,6 +9,13 @@
     /** The request succeeded; records that it carried are durable. */
     record Done() implements PeerReply {}
 
+    /**
+     * The reservation succeeded, and the origin of the stream is durable.
+     *
+     * @param origin the origin that the request recorded or read
+     */
+    record Reserved(StreamOrigin origin) implements PeerReply {}
+
     /** The reservation would exceed the token budget, whatever unfinished turns use. */
     record Exhausted() implements PeerReply {}
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/PeerRequest.java
@@ -20,8 +20,15 @@
      * @param call the turn
      * @param tokens the largest number of tokens that the turn may generate
      * @param budgetTokens the largest number of tokens that all turns of the program may generate
+     * @param stream whether the origin of an event stream is recorded or read as well
      */
-    record Reserve(ShardId shard, ProgramId program, CallId call, long tokens, long budgetTokens)
+    record Reserve(
+            ShardId shard,
+            ProgramId program,
+            CallId call,
+            long tokens,
+            long budgetTokens,
+            StreamStart stream)
             implements PeerRequest {}
 
     /**
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardRecords.java
@@ -38,11 +38,21 @@
     }
 
     /**
-     * Returns the charge that is valid of two for the same turn, whatever the order in which they
-     * arrive: a settled charge replaces a reservation, and otherwise the larger one is valid.
+     * Merges two charges for the same turn, whatever the order in which they arrive: a settled
+     * charge replaces a reservation, and otherwise the larger one is valid. The origin of the
+     * stream is merged by itself, because a settlement may lack it.
      */
     private static StoredRecord.Charge mergeCharges(
             StoredRecord.Charge existing, StoredRecord.Charge added) {
+        Option<StreamOrigin> origin =
+                Vector.of(existing, added)
+                        .flatMap(StoredRecord.Charge::origin)
+                        .reduceOption(StreamOrigin::latest);
+        return validCharge(existing, added).withOrigin(origin);
+    }
+
+    private static StoredRecord.Charge validCharge(
+            StoredRecord.Charge existing, StoredRecord.Charge added) {
         if (existing.settled() != added.settled()) {
             return existing.settled() ? existing : added;
         }
@@ -57,6 +67,11 @@
         return Option.of(charges.get(program)).flatMap(calls -> Option.of(calls.get(call)));
     }
 
+    /** Returns where the stream of a turn began; none if it is not recorded. */
+    Option<StreamOrigin> origin(ProgramId program, CallId call) {
+        return charge(program, call).flatMap(StoredRecord.Charge::origin);
+    }
+
     /**
      * The tokens charged to a program.
      *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Option;
 import java.util.HashMap;
 import java.util.Map;
+import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.id.StoreId;
@@ -331,9 +332,34 @@
                         request.call(),
                         request.tokens(),
                         false,
-                        nowMillis + CHARGE_RETENTION_MILLIS);
+                        nowMillis + CHARGE_RETENTION_MILLIS,
+                        originToRecord(request.stream()));
         records.apply(charge);
-        return new Decision.Replicate(Vector.of(charge), new PeerReply.Done(), shard.primarySince);
+        PeerReply reply =
+                durableOrigin(records, request)
+                        .<PeerReply>map(PeerReply.Reserved::new)
+                        .getOrElse(PeerReply.Done::new);
+        return new Decision.Replicate(Vector.of(charge), reply, shard.primarySince);
+    }
+
+    private static Option<StreamOrigin> originToRecord(StreamStart stream) {
+        return stream instanceof StreamStart.Begins(StreamOrigin origin)
+                ? Option.some(origin)
+                : Option.none();
+    }
+
+    /**
+     * Returns the origin that the reply to a reservation states. The reply is sent only after the
+     * write quorum has confirmed this host as the primary, so that no later origin is missed.
+     */
+    private static Option<StreamOrigin> durableOrigin(
+            ShardRecords records, PeerRequest.Reserve request) {
+        return switch (request.stream()) {
+            case StreamStart.Untracked() -> Option.none();
+            case StreamStart.Begins _ -> records.origin(request.program(), request.call());
+            case StreamStart.Resumes(CallId firstCall) ->
+                    records.origin(request.program(), firstCall);
+        };
     }
 
     private static ShardRecords.ChargedTokens charged(
@@ -356,7 +382,8 @@
                         request.call(),
                         request.tokens(),
                         true,
-                        nowMillis + CHARGE_RETENTION_MILLIS);
+                        nowMillis + CHARGE_RETENTION_MILLIS,
+                        Option.none());
         return applyAsPrimary(request.shard(), charge);
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/StoredRecord.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.peer;
 
+import io.vavr.control.Option;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ProgramId;
@@ -38,10 +39,21 @@
      * @param tokens the number of tokens, reserved or used
      * @param settled whether the number is final; false for a reservation
      * @param keepUntilMillis the time after which it may be removed, in Unix milliseconds
+     * @param origin where the event stream of the turn began; none if it cannot be resumed
      */
     record Charge(
-            ProgramId program, CallId call, long tokens, boolean settled, long keepUntilMillis)
-            implements StoredRecord {}
+            ProgramId program,
+            CallId call,
+            long tokens,
+            boolean settled,
+            long keepUntilMillis,
+            Option<StreamOrigin> origin)
+            implements StoredRecord {
+        /** Returns a copy of this charge with the given origin. */
+        Charge withOrigin(Option<StreamOrigin> newOrigin) {
+            return new Charge(program, call, tokens, settled, keepUntilMillis, newOrigin);
+        }
+    }
 
     /**
      * The end of an epoch on this host, logged before a change of the view. A host that restarts
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/TurnHistory.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.peer;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.id.CallId;
@@ -12,8 +13,13 @@
 public interface TurnHistory {
     /** The result of a reservation. */
     sealed interface Reservation {
-        /** The tokens are reserved, and the reservation is durable. */
-        record Granted() implements Reservation {}
+        /**
+         * The tokens are reserved, and the reservation is durable.
+         *
+         * @param origin the origin of the stream that is recorded durably; none if none was to be
+         *     recorded or read, or if none is found
+         */
+        record Granted(Option<StreamOrigin> origin) implements Reservation {}
 
         /** The reservation would exceed the budget; nothing is reserved. */
         record Exhausted() implements Reservation {}
@@ -47,16 +53,23 @@
     }
 
     /**
-     * Reserves tokens for one turn. A retry for the same turn reserves no further tokens.
+     * Reserves tokens for one turn, and records or reads the origin of its stream. A further
+     * reservation for the same turn reserves no further tokens.
      *
      * @param program the program
      * @param turn the turn
      * @param tokens the largest number of tokens that the turn may generate
      * @param budgetTokens the largest number of tokens that all turns of the program may generate
+     * @param stream whether the origin of an event stream is recorded or read as well
      * @param timeout the time after which the result is {@link Reservation.Unavailable}
      */
     CompletableFuture<Reservation> reserve(
-            ProgramId program, CallId turn, long tokens, long budgetTokens, Duration timeout);
+            ProgramId program,
+            CallId turn,
+            long tokens,
+            long budgetTokens,
+            StreamStart stream,
+            Duration timeout);
 
     /**
      * Replaces the reservation of a turn by the number of tokens that reached the caller. Returns
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/MessageCodec.java
@@ -14,10 +14,13 @@
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
 import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.thrift.generated.AppendStruct;
 import org.tamarackfold.peer.thrift.generated.CollectStruct;
 import org.tamarackfold.peer.thrift.generated.CollectedStruct;
 import org.tamarackfold.peer.thrift.generated.CopyStruct;
+import org.tamarackfold.peer.thrift.generated.DoneStruct;
 import org.tamarackfold.peer.thrift.generated.EmptyStruct;
 import org.tamarackfold.peer.thrift.generated.LookUpStruct;
 import org.tamarackfold.peer.thrift.generated.PingStruct;
@@ -39,19 +42,7 @@
 
     private static RequestStruct toStruct(PeerRequest request) {
         return switch (request) {
-            case PeerRequest.Reserve(
-                            ShardId shard,
-                            ProgramId program,
-                            CallId call,
-                            long tokens,
-                            long budgetTokens) ->
-                    RequestStruct.reserve(
-                            new ReserveStruct(
-                                    shard.value(),
-                                    program.value(),
-                                    call.value(),
-                                    tokens,
-                                    budgetTokens));
+            case PeerRequest.Reserve reserve -> RequestStruct.reserve(toReserveStruct(reserve));
             case PeerRequest.Settle(ShardId shard, ProgramId program, CallId call, long tokens) ->
                     RequestStruct.settle(
                             new SettleStruct(shard.value(), program.value(), call.value(), tokens));
@@ -93,6 +84,22 @@
         };
     }
 
+    private static ReserveStruct toReserveStruct(PeerRequest.Reserve reserve) {
+        ReserveStruct struct =
+                new ReserveStruct(
+                        reserve.shard().value(),
+                        reserve.program().value(),
+                        reserve.call().value(),
+                        reserve.tokens(),
+                        reserve.budgetTokens());
+        return switch (reserve.stream()) {
+            case StreamStart.Untracked() -> struct;
+            case StreamStart.Begins(StreamOrigin origin) ->
+                    struct.setBegins(OriginCodec.toStruct(origin));
+            case StreamStart.Resumes(CallId firstCall) -> struct.setResumes(firstCall.value());
+        };
+    }
+
     /**
      * Decodes a request.
      *
@@ -128,7 +135,17 @@
                 new ProgramId(struct.getProgram()),
                 new CallId(struct.getCall()),
                 struct.getTokens(),
-                struct.getBudgetTokens());
+                struct.getBudgetTokens(),
+                toStreamStart(struct));
+    }
+
+    private static StreamStart toStreamStart(ReserveStruct struct) {
+        if (struct.isSetBegins()) {
+            return new StreamStart.Begins(OriginCodec.toOrigin(struct.getBegins()));
+        }
+        return struct.isSetResumes()
+                ? new StreamStart.Resumes(new CallId(struct.getResumes()))
+                : new StreamStart.Untracked();
     }
 
     private static PeerRequest toSettle(SettleStruct struct) {
@@ -174,7 +191,10 @@
     public static byte[] encode(PeerReply reply) {
         return ThriftBytes.encode(
                 switch (reply) {
-                    case PeerReply.Done() -> ReplyStruct.done(new EmptyStruct());
+                    case PeerReply.Done() -> ReplyStruct.done(new DoneStruct());
+                    case PeerReply.Reserved(StreamOrigin origin) ->
+                            ReplyStruct.done(
+                                    new DoneStruct().setOrigin(OriginCodec.toStruct(origin)));
                     case PeerReply.Exhausted() -> ReplyStruct.exhausted(new EmptyStruct());
                     case PeerReply.Outstanding() -> ReplyStruct.outstanding(new EmptyStruct());
                     case PeerReply.Found(byte[] text) -> ReplyStruct.found(ByteBuffer.wrap(text));
@@ -204,7 +224,11 @@
             throw new IllegalArgumentException("Reply has no known kind");
         }
         return switch (struct.getSetField()) {
-            case DONE -> new PeerReply.Done();
+            case DONE ->
+                    struct.getDone().isSetOrigin()
+                            ? new PeerReply.Reserved(
+                                    OriginCodec.toOrigin(struct.getDone().getOrigin()))
+                            : new PeerReply.Done();
             case EXHAUSTED -> new PeerReply.Exhausted();
             case OUTSTANDING -> new PeerReply.Outstanding();
             case FOUND -> new PeerReply.Found(struct.getFound());
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/RecordCodec.java
@@ -1,11 +1,13 @@
 package org.tamarackfold.peer.thrift;
 
+import io.vavr.control.Option;
 import java.nio.ByteBuffer;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.Epoch;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.peer.StoredRecord;
+import org.tamarackfold.peer.StreamOrigin;
 import org.tamarackfold.peer.thrift.generated.ChargeStruct;
 import org.tamarackfold.peer.thrift.generated.EpochEndStruct;
 import org.tamarackfold.peer.thrift.generated.LoggedRecordStruct;
@@ -50,14 +52,14 @@
                             CallId call,
                             long tokens,
                             boolean settled,
-                            long keepUntilMillis) ->
-                    RecordStruct.charge(
-                            new ChargeStruct(
-                                    program.value(),
-                                    call.value(),
-                                    tokens,
-                                    settled,
-                                    keepUntilMillis));
+                            long keepUntilMillis,
+                            Option<StreamOrigin> origin) -> {
+                ChargeStruct charge =
+                        new ChargeStruct(
+                                program.value(), call.value(), tokens, settled, keepUntilMillis);
+                origin.map(OriginCodec::toStruct).forEach(charge::setOrigin);
+                yield RecordStruct.charge(charge);
+            }
             case StoredRecord.EpochEnd(Epoch epoch) ->
                     RecordStruct.epochEnd(new EpochEndStruct(epoch.value()));
         };
@@ -81,6 +83,7 @@
                 new CallId(charge.getCall()),
                 charge.getTokens(),
                 charge.isSettled(),
-                charge.getKeepUntilMillis());
+                charge.getKeepUntilMillis(),
+                Option.of(charge.getOrigin()).map(OriginCodec::toOrigin));
     }
 }
