--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/EndpointTableTest.java
@@ -58,6 +58,71 @@
         }
     }
 
+    /** Endpoints of two software versions in one service. */
+    public static final class Versions extends Fixture {
+        private static final SoftwareVersion NEW = new SoftwareVersion("v2");
+        private static final SelectionRequest ANY =
+                new SelectionRequest(SERVICE, Option.none(), HashSet.empty());
+
+        private final EndpointId restarted = new EndpointId("i-5fc0f00");
+
+        /** Replaces one of the endpoints by one of another version. */
+        @BeforeMethod(dependsOnMethods = "register")
+        public void restartOne() {
+            EndpointRecord record = table.get(restarted).get();
+            table.put(
+                    new EndpointRecord(
+                            restarted,
+                            SERVICE,
+                            record.address(),
+                            record.zone(),
+                            SLOTS,
+                            false,
+                            2,
+                            NEW));
+        }
+
+        /** Guards against a call at another version than its stream requires. */
+        @Test
+        public void requiredVersionIsSelectedAtAnyLoad() {
+            for (int i = 0; i < 3 * SLOTS; i++) {
+                Selection selection = table.select(ANY.requiring(SERVICE, NEW), 0);
+                assertEquals(((Selection.Selected) selection).endpoint().id(), restarted);
+            }
+            assertEquals(
+                    table.select(ANY.requiring(SERVICE, NEW).excluding(restarted), 0),
+                    new Selection.NoneEligible());
+        }
+
+        /** Guards against a version that is named by no endpoint, or by one that is excluded. */
+        @Test
+        public void versionToSelectIsThatOfAnEligibleEndpoint() {
+            SelectionRequest required = ANY.requiring(SERVICE, NEW);
+            assertEquals(table.versionToSelect(required, 0), Option.some(NEW));
+            assertEquals(table.versionToSelect(required.excluding(restarted), 0), Option.none());
+            assertEquals(
+                    table.versionToSelect(ANY.excluding(restarted), 0),
+                    Option.some(SoftwareVersion.UNSTATED));
+        }
+
+        /** Guards against calls that count as in flight although they were never sent. */
+        @Test
+        public void versionToSelectCountsNoCall() {
+            SelectionRequest required = ANY.requiring(SERVICE, NEW);
+            for (int i = 0; i < 10; i++) {
+                table.versionToSelect(required, 0);
+            }
+            Selection selection = table.select(required, 0);
+            assertEquals(((Selection.Selected) selection).inFlight(), 1);
+        }
+
+        /** Guards against versions of draining endpoints being taken for gone. */
+        @Test
+        public void versionsIncludeAllEndpoints() {
+            assertEquals(table.versions(SERVICE), java.util.Set.of(SoftwareVersion.UNSTATED, NEW));
+        }
+    }
+
     /** Calls that share an affinity key. */
     public static final class Affinity extends Fixture {
         /**
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.operator.CallSemantics;
 import org.tamarackfold.operator.Release;
 import org.testng.annotations.Test;
@@ -41,6 +42,14 @@
             assertEquals(record.startedAtMillis(), 1_700_000_000_000L);
         }
 
+        /** Guards against endpoints of two software versions that seem to have the same one. */
+        @Test
+        public void softwareVersionIsDecoded() {
+            assertEquals(decode(REGISTRATION).get().version(), new SoftwareVersion("v1"));
+            String overlong = REGISTRATION.replace("\"v1\"", '"' + "v".repeat(129) + '"');
+            assertTrue(decode(overlong).isLeft());
+        }
+
         /**
          * Guards against using a malformed registration, for example one that another program has
          * written under the same prefix.
