--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -55,10 +55,13 @@
 
     /**
      * Records the origin of a stream that a reservation has recorded or read, with the reason why
-     * the call is not sent, if so.
+     * the call is not sent, if so. The first origin of a new stream has no line of its own: its
+     * version is in that of the dispatch.
      */
     void streamOrigin(Option<StreamOrigin> origin, Option<String> refusal) {
-        if (origin.isEmpty() && refusal.isEmpty()) {
+        boolean isChoice =
+                call.resumption().isDefined() || origin.exists(known -> known.attempt() > 1);
+        if (!isChoice && refusal.isEmpty()) {
             return;
         }
         StructuredLog.Line line = LOG.event("stream_origin").with("call", call.id());
