--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
@@ -24,27 +23,20 @@
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
 import org.tamarackfold.peer.StreamOrigin;
-import org.tamarackfold.time.Durations;
 import org.xnio.IoUtils;
-import org.xnio.XnioIoThread;
 
 /**
  * One call, from its arrival to the end of its response. Runs on the I/O thread of the caller's
  * connection.
  */
 final class ActiveCall implements EndpointAttempt.Listener {
-    /** Timeout of a call that names none; a shorter timeout of its route takes precedence. */
-    private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(5);
-
-    /** Remaining time below which no further attempt is made; the deadline timer is due. */
-    private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-
     private final CallDependencies dependencies;
     private final HttpServerExchange exchange;
     private final CallDescription call;
     private final Release release;
     private final Route route;
     private final long arrivedAtNanos;
+    private final CallDeadline deadline;
     private final RetryPolicy retryPolicy;
     private final TurnState turnState;
     private final RetryDelays retryDelays;
@@ -52,8 +44,6 @@
     private final StreamVersions streamVersions;
 
     private byte[] body;
-    private long deadlineNanos;
-    private XnioIoThread.Key deadlineTimer;
     private DisconnectDetector disconnectDetector;
     private SelectionRequest selectionRequest;
     private EndpointAttempt attempt;
@@ -74,6 +64,7 @@
         this.release = release;
         this.route = route;
         this.arrivedAtNanos = arrivedAtNanos;
+        this.deadline = new CallDeadline(call, route, arrivedAtNanos);
         this.retryPolicy = new RetryPolicy(route);
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
@@ -98,17 +89,10 @@
 
     void start(byte[] requestBody) {
         body = requestBody;
-        Duration timeout =
-                Durations.min(call.timeout().getOrElse(DEFAULT_TIMEOUT), route.timeout());
-        deadlineNanos = arrivedAtNanos + timeout.toNanos();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
-        if (remainingMillis <= 0) {
+        if (!deadline.start(exchange.getIoThread(), this::onDeadline)) {
             respond(refusal("deadline passed before the request body was read"));
             return;
         }
-        deadlineTimer =
-                exchange.getIoThread()
-                        .executeAfter(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
         selectionRequest = InitialSelection.of(call, route, dependencies.random().nextDouble());
         if (!turnState.usesTokenBudget() && !route.callSemantics().isStream()) {
@@ -116,7 +100,7 @@
             return;
         }
         streamVersions
-                .prepare(selectionRequest, remainingTime())
+                .prepare(selectionRequest, deadline.remainingTime())
                 .thenAcceptAsync(this::onTurnPrepared, exchange.getIoThread());
     }
 
@@ -151,7 +135,7 @@
             return;
         }
         long nowNanos = System.nanoTime();
-        if (deadlineNanos - nowNanos < SHORTEST_ATTEMPT_NANOS) {
+        if (deadline.isDue(nowNanos)) {
             onDeadline();
             return;
         }
@@ -172,7 +156,7 @@
     /** Records that the stream begins at another version before the call is sent there. */
     private void recordVersion(SoftwareVersion version) {
         streamVersions
-                .recordVersion(selectionRequest, version, remainingTime())
+                .recordVersion(selectionRequest, version, deadline.remainingTime())
                 .thenAcceptAsync(this::onVersionRecorded, exchange.getIoThread());
     }
 
@@ -207,13 +191,8 @@
         EndpointRecord endpoint = selected.endpoint();
         attempt = new EndpointAttempt(endpoint, call, dependencies, this);
         attemptStartedAtNanos = nowNanos;
-        callLog.dispatched(selected, remainingTime(), nowNanos);
-        attempt.start(dependencies.client(), exchange, body, remainingTime());
-    }
-
-    /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
-    private Duration remainingTime() {
-        return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime()));
+        callLog.dispatched(selected, deadline.remainingTime(), nowNanos);
+        attempt.start(dependencies.client(), exchange, body, deadline.remainingTime());
     }
 
     @Override
@@ -316,7 +295,7 @@
     private void finishTurn(EventStreamRelay eventStream, EndpointRecord endpoint) {
         turnState.recordDeliveredTokens(deliveredTokens(endpoint));
         turnState
-                .store(eventStream.collectedData(), remainingTime())
+                .store(eventStream.collectedData(), deadline.remainingTime())
                 .thenAcceptAsync(
                         stored -> onTurnStored(stored, eventStream, endpoint),
                         exchange.getIoThread());
@@ -440,9 +419,7 @@
     /** Ends the call: stops its timer, settles its tokens, and records it in metrics and log. */
     private void finish(String outcome, String reason, EndpointRecord endpoint) {
         finished = true;
-        if (deadlineTimer != null) {
-            deadlineTimer.remove();
-        }
+        deadline.stop();
         if (disconnectDetector != null) {
             disconnectDetector.stop();
         }
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDeadline.java
@@ -0,0 +1,52 @@
+package org.tamarackfold.caller.http;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.operator.Route;
+import org.tamarackfold.time.Durations;
+import org.xnio.XnioIoThread;
+
+/** The deadline of one call, with its timer on the I/O thread of the caller's connection. */
+final class CallDeadline {
+    /** Timeout of a call that names none; a shorter timeout of its route takes precedence. */
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(5);
+
+    /** Remaining time below which no further attempt is made; the deadline timer is due. */
+    private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final long deadlineNanos;
+    private XnioIoThread.Key timer;
+
+    CallDeadline(CallDescription call, Route route, long arrivedAtNanos) {
+        Duration timeout =
+                Durations.min(call.timeout().getOrElse(DEFAULT_TIMEOUT), route.timeout());
+        deadlineNanos = arrivedAtNanos + timeout.toNanos();
+    }
+
+    /** Starts the timer; returns false, without a timer, if the deadline has passed. */
+    boolean start(XnioIoThread thread, Runnable onDeadline) {
+        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        if (remainingMillis <= 0) {
+            return false;
+        }
+        timer = thread.executeAfter(onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
+        return true;
+    }
+
+    void stop() {
+        if (timer != null) {
+            timer.remove();
+        }
+    }
+
+    /** Returns whether too little time is left for another attempt. */
+    boolean isDue(long nowNanos) {
+        return deadlineNanos - nowNanos < SHORTEST_ATTEMPT_NANOS;
+    }
+
+    /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
+    Duration remainingTime() {
+        return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime()));
+    }
+}
