--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LeavingEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LeavingEndpointsTest.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.standin.VirtualScheduler;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -35,7 +36,8 @@
                 new AvailabilityZone("a"),
                 4,
                 false,
-                startedAtMillis);
+                startedAtMillis,
+                new SoftwareVersion("v1"));
     }
 
     /** A registry under virtual time. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -19,6 +19,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.settings.HostRole;
 import org.tamarackfold.settings.HostSettings;
@@ -108,7 +109,8 @@
                     new AvailabilityZone("a"),
                     8,
                     false,
-                    0);
+                    0,
+                    SoftwareVersion.UNSTATED);
         }
 
         private HostSettings settings() throws IOException {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
@@ -92,7 +92,7 @@
             ProgramId program = new ProgramId("p" + turns);
             CallId call = new CallId("c" + turns++);
             begun++;
-            client.reserve(program, call, 10, 100, RESERVATION_TIMEOUT)
+            client.reserve(program, call, 10, 100, new StreamStart.Untracked(), RESERVATION_TIMEOUT)
                     .thenAccept(
                             reservation -> {
                                 if (reservation instanceof TurnHistory.Reservation.Granted) {
@@ -187,6 +187,7 @@
                                         new CallId("q" + i),
                                         10,
                                         100,
+                                        new StreamStart.Untracked(),
                                         RESERVATION_TIMEOUT);
                 reservation.thenAccept(
                         result -> {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/RecoveryRun.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/RecoveryRun.java
@@ -344,6 +344,7 @@
                             new CallId("probe-" + probe),
                             1,
                             Workload.BUDGET,
+                            new StreamStart.Untracked(),
                             REQUEST_TIMEOUT));
         }
         cluster.advance(REQUEST_TIMEOUT.toMillis() + 1_000);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationRecoveryTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/ReplicationRecoveryTest.java
@@ -71,7 +71,12 @@
             shards.adopt(new Layout(Vector.of(current)));
             shards.reserve(
                     new PeerRequest.Reserve(
-                            SHARD, new ProgramId("program"), new CallId("call"), 1, 2),
+                            SHARD,
+                            new ProgramId("program"),
+                            new CallId("call"),
+                            1,
+                            2,
+                            new StreamStart.Untracked()),
                     0);
             View next = current.withMembers(Vector.of(host(1), host(2), host(4)));
             shards.setRequiredReceivers(SHARD, next.members());
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -3,12 +3,11 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
-import io.vavr.collection.HashSet;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.LocalResponse;
@@ -20,26 +19,18 @@
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
 import org.tamarackfold.id.CallId;
-import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.operator.Release;
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
-import org.tamarackfold.operator.WeightedService;
-import org.tamarackfold.time.Durations;
+import org.tamarackfold.peer.StreamOrigin;
 import org.xnio.IoUtils;
-import org.xnio.XnioIoThread;
 
 /**
  * One call, from its arrival to the end of its response. Runs on the I/O thread of the caller's
  * connection.
  */
 final class ActiveCall implements EndpointAttempt.Listener {
-    /** Timeout of a call that names none; a shorter timeout of its route takes precedence. */
-    private static final Duration DEFAULT_TIMEOUT = Duration.ofMinutes(5);
-
-    /** Remaining time below which no further attempt is made; the deadline timer is due. */
-    private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-
     private static final String STOP_REASON = "the host is stopping";
 
     private final CallDependencies dependencies;
@@ -49,14 +40,14 @@
     private final Release release;
     private final Route route;
     private final long arrivedAtNanos;
+    private final CallDeadline deadline;
     private final RetryPolicy retryPolicy;
     private final TurnState turnState;
     private final RetryDelays retryDelays;
     private final CallLog callLog;
+    private final StreamVersions streamVersions;
 
     private byte[] body;
-    private long deadlineNanos;
-    private XnioIoThread.Key deadlineTimer;
     private DisconnectDetector disconnectDetector;
     private SelectionRequest selectionRequest;
     private volatile EndpointAttempt attempt;
@@ -79,12 +70,15 @@
         this.release = release;
         this.route = route;
         this.arrivedAtNanos = arrivedAtNanos;
+        this.deadline = new CallDeadline(call, route, arrivedAtNanos);
         this.retryPolicy = new RetryPolicy(route);
         this.turnState = new TurnState(dependencies.history(), call, route);
         this.retryDelays = new RetryDelays(dependencies.random());
         this.callLog =
                 new CallLog(
                         dependencies.metrics(), call, route.name(), release.version(), activeCalls);
+        this.streamVersions =
+                new StreamVersions(dependencies.endpoints(), call, route, turnState, callLog);
         activeCalls.add(this);
     }
 
@@ -121,60 +115,34 @@
             return;
         }
         body = requestBody;
-        Duration timeout =
-                Durations.min(call.timeout().getOrElse(DEFAULT_TIMEOUT), route.timeout());
-        deadlineNanos = arrivedAtNanos + timeout.toNanos();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
-        if (remainingMillis <= 0) {
+        if (!deadline.start(exchange.getIoThread(), this::onDeadline)) {
             respond(refusal("deadline passed before the request body was read"));
             return;
         }
-        deadlineTimer =
-                exchange.getIoThread()
-                        .executeAfter(this::onDeadline, remainingMillis, TimeUnit.MILLISECONDS);
-        if (!activeCalls.maySend(System.nanoTime(), deadlineNanos)) {
+        if (!activeCalls.maySend(System.nanoTime(), deadline.nanos())) {
             refuseBecauseStopping();
             return;
         }
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
-        selectionRequest = new SelectionRequest(selectService(), affinityKey(), HashSet.empty());
-        if (!turnState.usesTokenBudget()) {
+        selectionRequest = InitialSelection.of(call, route, dependencies.random().nextDouble());
+        if (!turnState.usesTokenBudget() && !route.callSemantics().isStream()) {
             dispatch();
             return;
         }
-        turnState
-                .prepare(remainingTime())
+        streamVersions
+                .prepare(selectionRequest, deadline.remainingTime())
                 .thenAcceptAsync(this::onTurnPrepared, exchange.getIoThread());
     }
 
-    /** All turns of a program prefer the same endpoint, because their prompts share a prefix. */
-    private Option<String> affinityKey() {
-        return call.turn()
-                .map(programTurn -> programTurn.program().value())
-                .orElse(call::affinityKey);
-    }
-
-    private ServiceName selectService() {
-        double totalWeight = route.services().map(WeightedService::weight).sum().doubleValue();
-        double remainingWeight = dependencies.random().nextDouble() * totalWeight;
-        for (WeightedService candidate : route.services()) {
-            remainingWeight -= candidate.weight();
-            if (remainingWeight < 0) {
-                return candidate.service();
-            }
-        }
-        return route.services().last().service();
-    }
-
     private void onTurnPrepared(TurnState.Preparation preparation) {
         if (finished) {
             turnState.settle();
             return;
         }
         switch (preparation) {
-            case TurnState.Preparation.Ready() -> {
+            case TurnState.Preparation.Ready(var origin) -> {
                 body = turnState.prependHistory(body);
-                dispatch();
+                dispatchAt(origin);
             }
             case TurnState.Preparation.BudgetSpent() -> respond(new LocalResponse.BudgetSpent());
             case TurnState.Preparation.NoSuchTurn() -> respond(new LocalResponse.NoSuchTurn());
@@ -182,21 +150,36 @@
         }
     }
 
+    /** Sends the call after its origin has been recorded, or that of its stream was read. */
+    private void dispatchAt(Option<StreamOrigin> origin) {
+        Option<String> refusal = streamVersions.afterReservation(origin);
+        if (refusal.isDefined()) {
+            apply(retryPolicy.whenNoFurtherAttempt(), refusal.get());
+            return;
+        }
+        dispatch();
+    }
+
     private void dispatch() {
         if (finished) {
             return;
         }
         long nowNanos = System.nanoTime();
-        if (deadlineNanos - nowNanos < SHORTEST_ATTEMPT_NANOS) {
+        if (deadline.isDue(nowNanos)) {
             onDeadline();
             return;
         }
-        if (!activeCalls.maySend(nowNanos, deadlineNanos)) {
+        if (!activeCalls.maySend(nowNanos, deadline.nanos())) {
             refuseBecauseStopping();
             return;
         }
-        Selection selection = dependencies.endpoints().select(selectionRequest, nowNanos);
-        switch (selection) {
+        Either<SoftwareVersion, Selection> choice =
+                streamVersions.select(selectionRequest, nowNanos);
+        if (choice.isLeft()) {
+            recordVersion(choice.getLeft());
+            return;
+        }
+        switch (choice.get()) {
             case Selection.NoneEligible() ->
                     apply(retryPolicy.whenNoFurtherAttempt(), "no endpoint left");
             case Selection.RateLimited(Duration expectedWait) -> endRateLimited(expectedWait);
@@ -204,6 +187,24 @@
         }
     }
 
+    /** Records that the stream begins at another version before the call is sent there. */
+    private void recordVersion(SoftwareVersion version) {
+        streamVersions
+                .recordVersion(selectionRequest, version, deadline.remainingTime())
+                .thenAcceptAsync(this::onVersionRecorded, exchange.getIoThread());
+    }
+
+    private void onVersionRecorded(TurnState.Preparation preparation) {
+        if (finished) {
+            return;
+        }
+        if (preparation instanceof TurnState.Preparation.Ready(var origin)) {
+            dispatchAt(origin);
+            return;
+        }
+        apply(retryPolicy.whenNoFurtherAttempt(), "origin not recorded: " + preparation);
+    }
+
     /**
      * Ends a call for which the rate limits of all endpoints leave no place, at once: the endpoints
      * would not take it before the caller can come back.
@@ -224,18 +225,8 @@
         EndpointRecord endpoint = selected.endpoint();
         attempt = new EndpointAttempt(endpoint, call, dependencies, this);
         attemptStartedAtNanos = nowNanos;
-        callLog.dispatched(selected, remainingTime(), nowNanos);
-        String query = exchange.getQueryString();
-        String pathAndQuery = query.isEmpty() ? call.path() : call.path() + '?' + query;
-        HeaderMap headers =
-                EndToEndHeaders.forEndpoint(
-                        exchange.getRequestHeaders(), dependencies.headerNames());
-        attempt.start(dependencies.client(), pathAndQuery, headers, body, remainingTime());
-    }
-
-    /** Returns the time until the deadline, at least 1 ms: timeouts are given in whole ms. */
-    private Duration remainingTime() {
-        return Duration.ofNanos(Math.max(1_000_000, deadlineNanos - System.nanoTime()));
+        callLog.dispatched(selected, deadline.remainingTime(), nowNanos);
+        attempt.start(dependencies.client(), exchange, body, deadline.remainingTime());
     }
 
     @Override
@@ -302,6 +293,13 @@
 
     @Override
     public void onResponseBody(ByteBuffer bytes) {
+        if (relay instanceof EventStreamRelay
+                && !relay.started()
+                && !streamVersions.mayRelay(attempt.endpoint())) {
+            attempt.cancel();
+            handleIncompleteResponse(endAttempt(), "endpoint restarted with another version");
+            return;
+        }
         relay.onBody(bytes);
         if (relay.isMalformed()) {
             attempt.cancel();
@@ -337,7 +335,7 @@
     private void finishTurn(EventStreamRelay eventStream, EndpointRecord endpoint) {
         turnState.recordDeliveredTokens(deliveredTokens(endpoint));
         turnState
-                .store(eventStream.collectedData(), remainingTime())
+                .store(eventStream.collectedData(), deadline.remainingTime())
                 .thenAcceptAsync(
                         stored -> onTurnStored(stored, eventStream, endpoint),
                         exchange.getIoThread());
@@ -483,9 +481,7 @@
     private void finish(String outcome, String reason, EndpointRecord endpoint) {
         finished = true;
         activeCalls.remove(this);
-        if (deadlineTimer != null) {
-            deadlineTimer.remove();
-        }
+        deadline.stop();
         if (disconnectDetector != null) {
             disconnectDetector.stop();
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
@@ -23,6 +23,9 @@
  * @param rateLimit set in the responses of an endpoint that limits the calls a second that it takes
  *     from all hosts together
  * @param leaving set to 1 in all responses of an endpoint that is leaving
+ * @param lastEventId carries the id of the last event of a stream that the caller has received,
+ *     when it resumes the stream
+ * @param resumes carries the id of the call that brought the first event of a resumed stream
  * @param reserved headers that only entry hosts may set; removed from the requests of callers
  */
 public record CallHeaderNames(
@@ -39,6 +42,8 @@
         HttpString notRun,
         HttpString rateLimit,
         HttpString leaving,
+        HttpString lastEventId,
+        HttpString resumes,
         Set<HttpString> reserved) {
     /** Header names of tamarackfold's own protocol; a platform adapter may use others. */
     public static final CallHeaderNames DEFAULT =
@@ -56,5 +61,7 @@
                     new HttpString("Not-Run"),
                     new HttpString("Rate-Limit"),
                     new HttpString("Endpoint-Leaving"),
+                    new HttpString("Last-Event-Id"),
+                    new HttpString("Resumed-Call"),
                     HashSet.of(new HttpString("Expected-Endpoint")));
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -5,13 +5,16 @@
 import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.caller.Resumption;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.StatedRateLimit;
+import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ReleaseVersion;
 import org.tamarackfold.id.RouteName;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.metrics.HostMetrics;
+import org.tamarackfold.peer.StreamOrigin;
 
 /** Records the decisions on one call and its end in the log and in the metrics. */
 final class CallLog {
@@ -44,10 +47,12 @@
                         .with("route", route)
                         .with("release", release)
                         .with("endpoint", selected.endpoint().id())
+                        .with("version", selected.endpoint().version())
                         .with("in_flight", selected.inFlight())
                         .with("left_ms", remainingTime.toMillis());
         addTimeSinceStop(line, nowNanos);
         call.turn().forEach(turn -> line.with("program", turn.program()));
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
         for (StatedRateLimit stated : selected.rateLimit()) {
             line.with("limit_per_s", stated.limit())
                     .with("limit_age_ms", stated.ageMillis(nowNanos));
@@ -56,6 +61,32 @@
         line.info();
     }
 
+    /**
+     * Records the origin of a stream that a reservation has recorded or read, with the reason why
+     * the call is not sent, if so. The first origin of a new stream has no line of its own: its
+     * version is in that of the dispatch.
+     */
+    void streamOrigin(Option<StreamOrigin> origin, Option<String> refusal) {
+        boolean isChoice =
+                call.resumption().isDefined() || origin.exists(known -> known.attempt() > 1);
+        if (!isChoice && refusal.isEmpty()) {
+            return;
+        }
+        StructuredLog.Line line = LOG.event("stream_origin").with("call", call.id());
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
+        origin.forEach(
+                known ->
+                        line.with("service", known.service())
+                                .with("version", known.version())
+                                .with("origin_attempt", known.attempt()));
+        refusal.forEach(reason -> line.with("refused", reason));
+        line.info();
+    }
+
+    private static String nameOf(Resumption resumption) {
+        return resumption.firstCall().map(CallId::value).getOrElse("unnamed");
+    }
+
     /** Records that an attempt ended without a response to relay. */
     void attemptFailed(EndpointId endpoint, AttemptOutcome outcome, String reason) {
         LOG.event("attempt_failed")
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HistoryClient.java
@@ -125,6 +125,7 @@
                     retry(pending);
             case PeerReply.Overloaded(String reason) -> onOverloaded(pending, reason);
             case PeerReply.Done(),
+                    PeerReply.Reserved _,
                     PeerReply.Exhausted(),
                     PeerReply.Outstanding(),
                     PeerReply.Found(byte[] _),
@@ -152,18 +153,26 @@
 
     @Override
     public CompletableFuture<Reservation> reserve(
-            ProgramId program, CallId turn, long tokens, long budgetTokens, Duration timeout) {
+            ProgramId program,
+            CallId turn,
+            long tokens,
+            long budgetTokens,
+            StreamStart stream,
+            Duration timeout) {
         return sendNewWork(
                         layout -> layout.shardOf(program),
                         shard ->
-                                new PeerRequest.Reserve(shard, program, turn, tokens, budgetTokens),
+                                new PeerRequest.Reserve(
+                                        shard, program, turn, tokens, budgetTokens, stream),
                         timeout)
                 .thenApply(HistoryClient::toReservation);
     }
 
     private static Reservation toReservation(PeerReply reply) {
         return switch (reply) {
-            case PeerReply.Done() -> new Reservation.Granted();
+            case PeerReply.Done() -> new Reservation.Granted(Option.none());
+            case PeerReply.Reserved(StreamOrigin origin) ->
+                    new Reservation.Granted(Option.some(origin));
             case PeerReply.Exhausted() -> new Reservation.Exhausted();
             case PeerReply.Outstanding() ->
                     new Reservation.Unavailable("unfinished turns hold the rest of the budget");
