Send no request whose waiting time in a host queue has passed

What callers would see: an overload of a storage host that lasts longer than its cause. A request may wait for half of its timeout; a timer withdraws it then. The request was then sent with little or no time left: its receiver works for nobody, and its timeout lowers the limit.

Cause: only the timer looked at the waiting time, not the queue that chooses the next request.

Change: the queue drops such a request; the timer still gives its sender the rejection.

Evidence: LimitedPeerChannelTest$LateTimer failed before, a request was sent with 100 of 700 ms left.

--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HostQueue.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HostQueue.java
@@ -15,11 +15,19 @@
     /** A host that has replied within this time is overloaded rather than unreachable. */
     private static final long RECENT_REPLY_NANOS = Duration.ofSeconds(1).toNanos();
 
+    /**
+     * A request waits for at most this fraction of its timeout. Sent with less time left, it would
+     * time out at a host that answers as fast as ever.
+     */
+    private static final int WAITING_DIVISOR = 2;
+
     /** A request with its result; sent at most once. */
     static final class QueuedRequest {
         private final PeerRequest request;
         private final RequestClass requestClass;
         private final long deadlineNanos;
+        private final Duration longestWait;
+        private final long waitsUntilNanos;
         private final CompletableFuture<PeerReply> result = new CompletableFuture<>();
         private long sentAtNanos;
         private boolean sent;
@@ -28,6 +36,8 @@
             this.request = request;
             this.requestClass = RequestClass.of(request);
             this.deadlineNanos = nowNanos + timeout.toNanos();
+            this.longestWait = timeout.dividedBy(WAITING_DIVISOR);
+            this.waitsUntilNanos = nowNanos + longestWait.toNanos();
         }
 
         PeerRequest request() {
@@ -38,6 +48,11 @@
             return result;
         }
 
+        /** Returns how long the request may wait before it is withdrawn. */
+        Duration longestWait() {
+            return longestWait;
+        }
+
         Duration remaining(long nowNanos) {
             return Duration.ofNanos(Math.max(0, deadlineNanos - nowNanos));
         }
@@ -106,6 +121,11 @@
                 break;
             }
             QueuedRequest waiting = removeOldest(queue);
+            // The timer that withdraws it is late on a busy thread; its sender still gets the
+            // rejection from there.
+            if (nowNanos - waiting.waitsUntilNanos >= 0) {
+                continue;
+            }
             markSent(waiting, nowNanos);
             next = next.append(waiting);
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LimitedPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LimitedPeerChannel.java
@@ -17,12 +17,6 @@
  * Thread-safe.
  */
 public final class LimitedPeerChannel implements PeerChannel {
-    /**
-     * A request waits for at most this fraction of its timeout. Sent with less time left, it would
-     * time out at a host that answers as fast as ever.
-     */
-    private static final int WAITING_DIVISOR = 2;
-
     private final TableLock lock = new TableLock(LockRank.PEER_QUEUES);
     private final Map<Address, HostQueue> queues = new HashMap<>();
     private final PeerChannel channel;
@@ -50,9 +44,7 @@
         switch (admission) {
             case HostQueue.Admission.Send() -> sendNow(address, queued);
             case HostQueue.Admission.Wait() ->
-                    scheduler.after(
-                            timeout.dividedBy(WAITING_DIVISOR),
-                            () -> onWaitingTimeout(address, queued));
+                    scheduler.after(queued.longestWait(), () -> onWaitingTimeout(address, queued));
             case HostQueue.Admission.Reject(PeerReply reply) -> queued.result().complete(reply);
         }
         return queued.result();
