Send queued requests in a loop when requests fail at once

What callers would see: an entry host or storage host that sends fewer and fewer requests to another host, at last none until its next start, and calls that wait for their deadline.

Cause: the end of a request sends the next one on the same stack. A request that fails before the send method returns, for example because no file descriptor is free, led to the next by recursion. With many waiting the stack overflowed; the error was swallowed by a future, the requests had no reply, and they counted as in flight for ever.

Change: requests that fail at once are followed by the next in a loop.

Evidence: LimitedPeerChannelTest$ImmediateFailure failed before, "without a reply", with 20,000 waiting settlements.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/LimitedPeerChannelTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/LimitedPeerChannelTest.java
@@ -1,18 +1,25 @@
 package org.tamarackfold.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.vavr.collection.Vector;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.id.Address;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ShardId;
+import org.tamarackfold.standin.VirtualScheduler;
 import org.testng.annotations.Test;
 
 /** Requests that wait because of the limit of requests in flight to a host. */
 public final class LimitedPeerChannelTest {
     private LimitedPeerChannelTest() {}
 
+    private static final Address ADDRESS = new Address("10.0.0.1", 7000);
     private static final Duration TIMEOUT = Duration.ofMillis(700);
 
     private static PeerRequest settlement() {
@@ -45,4 +52,40 @@
             return new HostQueue.QueuedRequest(settlement(), nowNanos, TIMEOUT);
         }
     }
+
+    /** Requests fail before the send method returns, as without free file descriptors. */
+    public static final class ImmediateFailure {
+        private static final int REQUESTS = 20_000;
+
+        /**
+         * Guards against a stack that overflows when one failure leads to the next request: the
+         * requests after it had no reply, and counted as in flight for ever.
+         */
+        @Test
+        public void eachWaitingRequestHasAReply() {
+            VirtualScheduler scheduler = new VirtualScheduler();
+            List<CompletableFuture<PeerReply>> unanswered = new ArrayList<>();
+            List<CompletableFuture<PeerReply>> results = new ArrayList<>();
+            boolean[] fails = new boolean[1];
+            LimitedPeerChannel channel =
+                    new LimitedPeerChannel(
+                            (address, request, timeout) -> {
+                                CompletableFuture<PeerReply> reply = new CompletableFuture<>();
+                                if (fails[0]) {
+                                    reply.complete(new PeerReply.Unreachable("no connection"));
+                                } else {
+                                    unanswered.add(reply);
+                                }
+                                return reply;
+                            },
+                            scheduler);
+            for (int i = 0; i < REQUESTS; i++) {
+                results.add(channel.send(ADDRESS, settlement(), TIMEOUT));
+            }
+            fails[0] = true;
+            unanswered.forEach(reply -> reply.complete(new PeerReply.Unreachable("timed out")));
+            scheduler.advance(Duration.ofMillis(1));
+            assertTrue(results.stream().allMatch(CompletableFuture::isDone), "without a reply");
+        }
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/LimitedPeerChannel.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/LimitedPeerChannel.java
@@ -2,6 +2,8 @@
 
 import io.vavr.collection.Vector;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -42,7 +44,7 @@
         HostQueue.QueuedRequest queued = new HostQueue.QueuedRequest(request, nowNanos, timeout);
         HostQueue.Admission admission = lock.withLock(() -> queue(address).admit(queued, nowNanos));
         switch (admission) {
-            case HostQueue.Admission.Send() -> sendNow(address, queued);
+            case HostQueue.Admission.Send() -> sendNow(address, Vector.of(queued));
             case HostQueue.Admission.Wait() ->
                     scheduler.after(queued.longestWait(), () -> onWaitingTimeout(address, queued));
             case HostQueue.Admission.Reject(PeerReply reply) -> queued.result().complete(reply);
@@ -54,18 +56,35 @@
         return queues.computeIfAbsent(address, unused -> new HostQueue());
     }
 
-    private void sendNow(Address address, HostQueue.QueuedRequest queued) {
-        channel.send(address, queued.request(), queued.remaining(scheduler.nanoTime()))
-                .thenAccept(reply -> onReply(address, queued, reply));
+    /**
+     * Sends requests, and those that may be sent once they have finished. A request that fails at
+     * once leads to the next in a loop: recursion would overflow the stack when many wait.
+     */
+    private void sendNow(Address address, Vector<HostQueue.QueuedRequest> requests) {
+        Deque<HostQueue.QueuedRequest> unsent = new ArrayDeque<>(requests.asJava());
+        while (!unsent.isEmpty()) {
+            HostQueue.QueuedRequest queued = unsent.poll();
+            CompletableFuture<PeerReply> reply =
+                    channel.send(address, queued.request(), queued.remaining(scheduler.nanoTime()));
+            if (reply.isDone()) {
+                unsent.addAll(finish(address, queued, reply.join()).asJava());
+                queued.result().complete(reply.join());
+            } else {
+                reply.thenAccept(received -> onReply(address, queued, received));
+            }
+        }
     }
 
     private void onReply(Address address, HostQueue.QueuedRequest queued, PeerReply reply) {
-        Vector<HostQueue.QueuedRequest> next =
-                lock.withLock(() -> queue(address).onFinished(queued, reply, scheduler.nanoTime()));
-        next.forEach(waiting -> sendNow(address, waiting));
+        sendNow(address, finish(address, queued, reply));
         queued.result().complete(reply);
     }
 
+    private Vector<HostQueue.QueuedRequest> finish(
+            Address address, HostQueue.QueuedRequest queued, PeerReply reply) {
+        return lock.withLock(() -> queue(address).onFinished(queued, reply, scheduler.nanoTime()));
+    }
+
     private void onWaitingTimeout(Address address, HostQueue.QueuedRequest queued) {
         PeerReply rejection =
                 lock.withLock(
