Refuse calls that arrive while a quiet host closes its connections

What callers would see: in a planned stop, a call that ends without an answer although it was sent to an endpoint.

Cause: a host that has been quiet closes its connections before the end of its grace. A call that arrived between the last check and the closing was sent, as the schedule allowed it by the time left, and cut a moment later.

Change: all calls in progress get their final responses on a quiet host, too, and from then on no call is sent; calls that arrive are refused unsent.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
@@ -18,6 +18,7 @@
     private final AtomicInteger exchanges = new AtomicInteger();
     private volatile long lastArrivalNanos = System.nanoTime();
     private volatile Option<Stop> stop = Option.none();
+    private volatile boolean ended;
 
     private record Stop(long requestedAtNanos, StopSchedule schedule) {}
 
@@ -40,7 +41,8 @@
 
     /** Returns whether a call with this deadline may be sent to an endpoint now. */
     boolean maySend(long nowNanos, long deadlineNanos) {
-        return stop.forAll(current -> current.schedule().maySend(nowNanos, deadlineNanos));
+        return !ended
+                && stop.forAll(current -> current.schedule().maySend(nowNanos, deadlineNanos));
     }
 
     /** Counts a request whose head has been read. */
@@ -74,8 +76,9 @@
         return lastArrivalNanos;
     }
 
-    /** Gives all calls in progress their final responses. */
+    /** Gives all calls in progress their final responses; no call is sent any more. */
     void endAll() {
+        ended = true;
         calls.forEach(ActiveCall::endBecauseStopping);
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHandler.java
@@ -49,7 +49,7 @@
         activeCalls.startStop(requestedAtNanos, schedule);
     }
 
-    /** Gives all calls in progress their final responses. */
+    /** Gives all calls in progress their final responses; no call is sent any more. */
     public void endCalls() {
         activeCalls.endAll();
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -178,9 +178,10 @@
         awaitQuiet(schedule, schedule.finalResponseNanos());
         if (!isQuiet(schedule)) {
             LOG.event("ending_calls").with("active_calls", callHandler.activeCalls()).info();
-            callHandler.endCalls();
-            awaitQuiet(schedule, schedule.closeNanos());
         }
+        // Also on a quiet host: a call may arrive before its connection is closed.
+        callHandler.endCalls();
+        awaitQuiet(schedule, schedule.closeNanos());
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         listeners.stop();
         callHandler.logCutCalls();
