Replay the log of a storage host record by record

What callers would see: after a fault of all hosts, no turn of any program is served, for good. A storage host with much state runs, but cannot start again: it read each segment into memory as a whole and kept all records of all segments, also those replaced by later ones, until the last was applied. All storage hosts hold about the same, so all of them fail together.

SegmentLogTest .segmentLargerThanTheHeapIsReplayed failed before: "OutOfMemoryError: Required array size too large".

Change: one frame in memory at a time; records go to the shard table as they are read.

Checked: SegmentLogTest and RetirementTest, 8 passed.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
@@ -7,6 +7,7 @@
 import io.vavr.collection.Seq;
 import io.vavr.collection.Vector;
 import java.io.IOException;
+import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -38,7 +39,9 @@
     private static SegmentLog open(
             Path folder, long compactionBytes, List<RecordCodec.LoggedRecord> replayed)
             throws IOException {
-        return SegmentLog.open(folder, compactionBytes, replayed::add);
+        SegmentLog log = SegmentLog.open(folder, compactionBytes);
+        log.replay(replayed::add);
+        return log;
     }
 
     private static void append(SegmentLog log, int index) throws Exception {
@@ -71,6 +74,27 @@
             assertEquals(replayed.get(7).shard(), SHARD);
         }
 
+        /**
+         * Guards against a host that never starts again because a segment does not fit into its
+         * heap: a sparse file that is larger than any array.
+         */
+        @Test
+        public void segmentLargerThanTheHeapIsReplayed() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            try (SegmentLog log = open(folder, Long.MAX_VALUE, new ArrayList<>())) {
+                log.start(Vector::empty);
+                append(log, 1);
+            }
+            Path segment = segments(folder).getFirst();
+            try (RandomAccessFile file = new RandomAccessFile(segment.toFile(), "rw")) {
+                file.setLength(3L << 30);
+            }
+            List<RecordCodec.LoggedRecord> replayed = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, replayed).close();
+            assertEquals(replayed.size(), 1);
+            Files.delete(segment);
+        }
+
         /**
          * Guards against a torn frame, left by a crash during a write, that makes the records
          * appended after the restart unreadable.
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -5,8 +5,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.LeasedKey;
@@ -52,14 +50,13 @@
 
     private StorageNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         components = new HostComponents(settings, adapter);
-        List<RecordCodec.LoggedRecord> restoredRecords = new ArrayList<>();
         recordLog =
                 SegmentLog.open(
                         settings.dataFolder().get(),
-                        settings.diskMegabytes() * 1_000_000L / COMPACTION_DIVISOR,
-                        restoredRecords::add);
+                        settings.diskMegabytes() * 1_000_000L / COMPACTION_DIVISOR);
         shards = new ShardTable(recordLog.storeId());
-        restoredRecords.forEach(logged -> shards.restore(logged.shard(), logged.record()));
+        long restoredRecords =
+                recordLog.replay(logged -> shards.restore(logged.shard(), logged.record()));
         recordLog.start(this::durableRecords);
         self =
                 new StorageHost(
@@ -80,10 +77,7 @@
                         .add(settings.peerAddress(), new PeerHandler(newReplicaService()))
                         .add(settings.metricsAddress(), Handlers.metrics(components.metrics()))
                         .start();
-        LOG.event("restored")
-                .with("store", self.store())
-                .with("records", restoredRecords.size())
-                .info();
+        LOG.event("restored").with("store", self.store()).with("records", restoredRecords).info();
     }
 
     /**
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentFile.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentFile.java
@@ -1,5 +1,7 @@
 package org.tamarackfold.peer.disk;
 
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -18,6 +20,8 @@
     /** Size of the frame header: the payload length and the checksum, 4 bytes each. */
     private static final int HEADER_BYTES = 8;
 
+    private static final int BUFFER_BYTES = 64 * 1024;
+
     private SegmentFile() {}
 
     /** Returns the payload with its frame header in front. */
@@ -36,31 +40,33 @@
     }
 
     /**
-     * Reads all frames up to the first damaged or incomplete one.
+     * Reads all frames up to the first damaged or incomplete one. Holds one frame in memory at a
+     * time: a segment may be larger than the free heap of a host that restarts.
      *
      * @param onPayload receives the payload of each frame, in the order of the file
      * @return the number of ignored bytes after the last valid frame; 0 when the file is intact
      */
     static long read(Path file, Consumer<byte[]> onPayload) throws IOException {
-        ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
-        while (content.remaining() >= HEADER_BYTES) {
-            content.mark();
-            int length = content.getInt();
-            int checksum = content.getInt();
-            // Zero bytes after the end would pass as an empty frame: their checksum is 0, too.
-            if (length <= 0 || length > content.remaining()) {
-                content.reset();
-                break;
-            }
-            byte[] payload = new byte[length];
-            content.get(payload);
-            if (checksum(payload) != checksum) {
-                content.reset();
-                break;
+        long remaining = Files.size(file);
+        try (DataInputStream content =
+                new DataInputStream(
+                        new BufferedInputStream(Files.newInputStream(file), BUFFER_BYTES))) {
+            while (remaining >= HEADER_BYTES) {
+                int length = content.readInt();
+                int checksum = content.readInt();
+                // Zero bytes after the end would pass as an empty frame: their checksum is 0, too.
+                if (length <= 0 || length > remaining - HEADER_BYTES) {
+                    break;
+                }
+                byte[] payload = content.readNBytes(length);
+                if (checksum(payload) != checksum) {
+                    break;
+                }
+                onPayload.accept(payload);
+                remaining -= HEADER_BYTES + length;
             }
-            onPayload.accept(payload);
         }
-        return content.remaining();
+        return remaining;
     }
 
     /** Writes all bytes, as a single write to the channel may be partial. */
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
@@ -75,21 +75,33 @@
     }
 
     /**
-     * Opens the log and replays its records. Appended records stay queued until {@link #start}.
+     * Opens the log. Appended records stay queued until {@link #start}.
      *
      * @param folder the folder of the segment files, created when absent
      * @param compactionBytes the number of appended bytes after which the log is compacted
-     * @param onRecord receives each stored record, in log order, before this method returns
      * @throws IOException when the folder cannot be read or written
      */
-    public static SegmentLog open(
-            Path folder, long compactionBytes, Consumer<RecordCodec.LoggedRecord> onRecord)
-            throws IOException {
+    public static SegmentLog open(Path folder, long compactionBytes) throws IOException {
         Files.createDirectories(folder);
-        SegmentLog log = new SegmentLog(folder, readOrCreateStoreId(folder), compactionBytes);
-        log.replay(onRecord);
-        log.openSegment();
-        return log;
+        return new SegmentLog(folder, readOrCreateStoreId(folder), compactionBytes);
+    }
+
+    /**
+     * Replays the records of earlier runs. Must be called once, before {@link #start}.
+     *
+     * @param onRecord receives each stored record, in log order, before this method returns
+     * @return the number of records
+     * @throws IOException when the folder cannot be read or written
+     */
+    public long replay(Consumer<RecordCodec.LoggedRecord> onRecord) throws IOException {
+        AtomicLong records = new AtomicLong();
+        replaySegments(
+                record -> {
+                    records.incrementAndGet();
+                    onRecord.accept(record);
+                });
+        openSegment();
+        return records.get();
     }
 
     private static StoreId readOrCreateStoreId(Path folder) throws IOException {
@@ -128,7 +140,7 @@
     }
 
     /**
-     * Starts the writer thread. Must be called exactly once.
+     * Starts the writer thread. Must be called exactly once, after {@link #replay}.
      *
      * @param recordSupplier returns the records that a compaction must keep, including those whose
      *     append has not completed yet; called on the writer thread
@@ -138,7 +150,7 @@
         writer.start();
     }
 
-    private void replay(Consumer<RecordCodec.LoggedRecord> onRecord) throws IOException {
+    private void replaySegments(Consumer<RecordCodec.LoggedRecord> onRecord) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             files.filter(file -> file.getFileName().toString().startsWith(SEGMENT_PREFIX))
                     .sorted()
