End a host process whose start fails with an error

What callers would see: a host that never comes back. A storage host whose state did not fit into its heap ended its main thread with OutOfMemoryError; the I/O threads kept the process alive without listeners, so the platform did not start it again.

Cause: only exceptions were taken as a failure of the start.

Evidence: HostStartTest failed before: "still running" after 30 s; now the process ends with status 1.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
@@ -96,12 +96,15 @@
         }
     }
 
-    /** Exits on failure, because threads of a partly started host would keep the process alive. */
+    /**
+     * Exits on failure, because threads of a partly started host would keep the process alive. An
+     * error, such as a heap that is too small, is a failure, too.
+     */
     private static Host startOrExit(
             HostSettings settings, StructuredLog log, BoundedConsoleHandler console) {
         try {
             return start(settings);
-        } catch (IOException | RuntimeException e) {
+        } catch (IOException | RuntimeException | Error e) {
             log.event("start_failed").with("host", settings.host()).with("reason", e).warn();
             console.close();
             System.exit(EXIT_START_FAILED);
