Add a randomized fault soak of real processes

Starts entry and storage hosts as processes on loopback, in front of stand-in endpoints and a stand-in of the platform's key-value server, injects seeded faults from outside, and checks what callers and endpoints see.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/Tamarackfold.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/Tamarackfold.java
@@ -19,7 +19,8 @@
                 .withCommand(HostCommand.class)
                 .withCommand(CheckSettingsCommand.class)
                 .withCommand(CheckReleaseCommand.class)
-                .withCommand(DemoCommand.class);
+                .withCommand(DemoCommand.class)
+                .withCommand(SoakCommand.class);
         Cli<Runnable> cli = builder.build();
         String[] effectiveArguments =
                 arguments.length == 0 || arguments[0].equals("--help")
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/CallKind.java
@@ -0,0 +1,70 @@
+package org.tamarackfold.daemon.soak;
+
+import org.tamarackfold.operator.CallSemantics;
+
+/** Kind of a call; each kind has a route of the same name. */
+public sealed interface CallKind {
+    /** A call that may run again. */
+    record Plain() implements CallKind {}
+
+    /** A call that may run once. */
+    record Once() implements CallKind {}
+
+    /**
+     * A stream that must not be resumed.
+     *
+     * @param events the number of its events
+     */
+    record Stream(int events) implements CallKind {}
+
+    /**
+     * A stream that may be resumed after any event.
+     *
+     * @param events the number of its events
+     */
+    record ResumableStream(int events) implements CallKind {}
+
+    /**
+     * A turn of a program, which continues the history of earlier turns.
+     *
+     * @param events the number of its events
+     */
+    record Turn(int events) implements CallKind {}
+
+    /** Returns the name of the route. */
+    default String route() {
+        return switch (this) {
+            case Plain() -> "plain";
+            case Once() -> "once";
+            case Stream(int _) -> "stream";
+            case ResumableStream(int _) -> "resume";
+            case Turn(int _) -> "turn";
+        };
+    }
+
+    /** Returns the number of events; 0 for an answer that is no stream. */
+    default int eventCount() {
+        return switch (this) {
+            case Plain(), Once() -> 0;
+            case Stream(int events) -> events;
+            case ResumableStream(int events) -> events;
+            case Turn(int events) -> events;
+        };
+    }
+
+    /** Returns what the release says of the route. */
+    default CallSemantics semantics() {
+        return switch (this) {
+            case Plain() -> CallSemantics.IDEMPOTENT;
+            case Once() -> CallSemantics.AT_MOST_ONCE;
+            case Stream(int _), Turn(int _) -> CallSemantics.AT_MOST_ONCE_STREAM;
+            case ResumableStream(int _) -> CallSemantics.RESUMABLE_STREAM;
+        };
+    }
+
+    /** Returns whether the call may run more than once. */
+    default boolean mayRunAgain() {
+        return semantics() == CallSemantics.IDEMPOTENT
+                || semantics() == CallSemantics.RESUMABLE_STREAM;
+    }
+}
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
@@ -0,0 +1,173 @@
+package org.tamarackfold.daemon.soak.http;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tamarackfold.caller.http.CallHeaderNames;
+import org.tamarackfold.daemon.soak.Ledger;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.platform.standin.PlatformDocuments;
+
+/** Endpoint that runs calls as their headers ask, and records each run in the ledger. */
+public final class StandInEndpoint implements AutoCloseable {
+    /** Number of events of the stream to send; absent for a plain answer. */
+    static final HttpString EVENTS = new HttpString("Soak-Events");
+
+    /** Pause before the answer and between events, in milliseconds. */
+    static final HttpString PAUSE = new HttpString("Soak-Pause-Ms");
+
+    static final HttpString LAST_EVENT = new HttpString("Last-Event-Id");
+
+    private static final CallHeaderNames NAMES = PlatformDocuments.ADAPTER.callHeaderNames();
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    /** Calls that run at the same time; more are rejected. */
+    private static final int SLOTS = 32;
+
+    private static final AtomicInteger NEXT_RUN = new AtomicInteger();
+
+    private final EndpointId id;
+    private final String softwareVersion;
+    private final Ledger ledger;
+    private final AtomicInteger running = new AtomicInteger();
+    private final Undertow server;
+    private final LoopbackProxy proxy;
+    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private volatile long drainingSinceNanos;
+
+    /** Starts an endpoint at an address, with a proxy in front of it. */
+    public StandInEndpoint(EndpointId id, String softwareVersion, Address address, Ledger ledger)
+            throws IOException {
+        this.id = id;
+        this.softwareVersion = softwareVersion;
+        this.ledger = ledger;
+        server =
+                Undertow.builder()
+                        .addHttpListener(address.port(), address.ip())
+                        .setIoThreads(1)
+                        .setWorkerThreads(1)
+                        .setHandler(this::dispatch)
+                        .build();
+        server.start();
+        proxy = new LoopbackProxy(address);
+    }
+
+    public EndpointId id() {
+        return id;
+    }
+
+    public String softwareVersion() {
+        return softwareVersion;
+    }
+
+    /** Returns the proxy, whose address is the registered one. */
+    public LoopbackProxy proxy() {
+        return proxy;
+    }
+
+    /** Returns the number of slots to register. */
+    public int slots() {
+        return SLOTS;
+    }
+
+    public int running() {
+        return running.get();
+    }
+
+    /** Sets when the key-value service has acknowledged that the endpoint is draining or gone. */
+    public void setDraining() {
+        drainingSinceNanos = System.nanoTime();
+    }
+
+    @Override
+    public void close() throws IOException {
+        proxy.close();
+        server.stop();
+        workers.shutdownNow();
+    }
+
+    private void dispatch(HttpServerExchange exchange) {
+        exchange.dispatch(workers, new BlockingHandler(this::handle)::handleRequest);
+    }
+
+    private void handle(HttpServerExchange exchange) throws IOException {
+        String expected = exchange.getRequestHeaders().getFirst(NAMES.expectedEndpoint());
+        if (expected != null && !expected.equals(id.value())) {
+            reject(exchange, MISDIRECTED);
+            return;
+        }
+        if (running.incrementAndGet() > SLOTS) {
+            running.decrementAndGet();
+            reject(exchange, UNAVAILABLE);
+            return;
+        }
+        try {
+            run(exchange);
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    private static void reject(HttpServerExchange exchange, int status) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(NAMES.notRun(), "1");
+        exchange.endExchange();
+    }
+
+    private void run(HttpServerExchange exchange) throws IOException {
+        String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        CallId call = new CallId(exchange.getRequestHeaders().getFirst(NAMES.callId()));
+        String signature = id + "-" + NEXT_RUN.incrementAndGet();
+        String answer = call + " " + signature + " " + "x".repeat(call.hashCode() & 0xfff);
+        ledger.runBegins(call, signature, body, answer, id);
+        if (drainingSinceNanos != 0) {
+            ledger.arrivesWhileDraining(call, id, drainingSinceNanos);
+        }
+        exchange.getResponseHeaders()
+                .put(NAMES.callId(), call.value())
+                .put(PlatformDocuments.SIGNATURE, signature);
+        int events = (int) number(exchange, EVENTS);
+        try {
+            if (events == 0) {
+                Thread.sleep(number(exchange, PAUSE));
+                exchange.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                exchange.getOutputStream().close();
+            } else {
+                stream(exchange, call, signature, events);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            ledger.runEnds(call);
+        }
+    }
+
+    private void stream(HttpServerExchange exchange, CallId call, String signature, int events)
+            throws IOException, InterruptedException {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+        OutputStream output = exchange.getOutputStream();
+        for (long number = number(exchange, LAST_EVENT) + 1; number <= events; number++) {
+            Thread.sleep(number(exchange, PAUSE));
+            StreamEvent event = new StreamEvent(call, number, softwareVersion, signature);
+            output.write(event.encode().getBytes(StandardCharsets.UTF_8));
+            output.flush();
+        }
+        output.close();
+    }
+
+    private static long number(HttpServerExchange exchange, HttpString header) {
+        String value = exchange.getRequestHeaders().getFirst(header);
+        return value == null ? 0 : Long.parseLong(value);
+    }
+}
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -0,0 +1,272 @@
+package org.tamarackfold.daemon.soak.runtime;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.tamarackfold.daemon.soak.CallKind;
+import org.tamarackfold.daemon.soak.Ledger;
+import org.tamarackfold.daemon.soak.Program;
+import org.tamarackfold.daemon.soak.http.Caller;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy;
+import org.tamarackfold.daemon.soak.http.StandInEndpoint;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.platform.standin.KeyValueServer;
+import org.tamarackfold.platform.standin.PlatformDocuments;
+import org.tamarackfold.platform.standin.PlatformDocuments.RouteRow;
+import org.tamarackfold.standin.ExecutorScheduler;
+import org.tamarackfold.standin.MemoryKeyValueService;
+
+/**
+ * The processes and stand-ins of a run. Only the thread that injects a fault changes its target.
+ */
+final class Fleet implements AutoCloseable {
+    /** Time from SIGTERM to SIGKILL, in milliseconds. */
+    static final long GRACE_MILLIS = 8_000;
+
+    private static final ServiceName LEDGER = new ServiceName("ledger");
+    private static final ServiceName MODELS = new ServiceName("models");
+    private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration RETENTION = Duration.ofMinutes(30);
+
+    /** Below the ports that the kernel gives to outgoing connections. */
+    private static final int FIRST_PORT = 12_000;
+
+    private static final int PORT_SPAN = 18_000;
+    private static final int ENDPOINTS_PER_SERVICE = 3;
+
+    /** An endpoint with its service. */
+    static final class Slot {
+        final ServiceName service;
+        volatile StandInEndpoint endpoint;
+        private boolean busy;
+
+        Slot(ServiceName service) {
+            this.service = service;
+        }
+
+        synchronized boolean reserve() {
+            boolean free = !busy;
+            busy = true;
+            return free;
+        }
+
+        synchronized void release() {
+            busy = false;
+        }
+    }
+
+    private final SoakOptions options;
+    private final Ledger ledger;
+    private final MemoryKeyValueService keyValue =
+            new MemoryKeyValueService(new ExecutorScheduler());
+    private final KeyValueServer keyValueServer;
+    private final Address keyValueAddress;
+    private final AtomicInteger endpointCount = new AtomicInteger();
+    private final AtomicInteger releaseVersion = new AtomicInteger();
+    private int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() * 97 % PORT_SPAN);
+
+    /** Proxies between callers and entry hosts, and between each host and the key-value service. */
+    final List<LoopbackProxy> hostProxies = new ArrayList<>();
+
+    final List<LoopbackProxy> keyValueProxies = new ArrayList<>();
+    final List<HostProcess> hosts = new ArrayList<>();
+    final List<Slot> slots = new ArrayList<>();
+    final Caller.EntryHosts entryHosts = new Caller.EntryHosts();
+
+    Fleet(SoakOptions options, Ledger ledger) throws IOException {
+        this.options = options;
+        this.ledger = ledger;
+        keyValueAddress = freeAddress();
+        keyValueServer = new KeyValueServer(keyValue, keyValueAddress);
+        writeRelease();
+        for (int i = 0; i < ENDPOINTS_PER_SERVICE; i++) {
+            addSlot(LEDGER);
+            addSlot(MODELS);
+        }
+        for (int i = 1; i <= options.storageHosts(); i++) {
+            addHost(new HostId("storage-" + i), false);
+        }
+        for (int i = 1; i <= options.entryHosts(); i++) {
+            addHost(new HostId("entry-" + i), true);
+        }
+        for (HostProcess host : hosts) {
+            host.start();
+        }
+    }
+
+    private void addSlot(ServiceName service) throws IOException {
+        Slot slot = new Slot(service);
+        slots.add(slot);
+        startEndpoint(slot, "1");
+    }
+
+    /** Starts an endpoint with a new id in a slot and registers it. */
+    void startEndpoint(Slot slot, String softwareVersion) throws IOException {
+        EndpointId id = new EndpointId(slot.service + "-" + endpointCount.incrementAndGet());
+        slot.endpoint = new StandInEndpoint(id, softwareVersion, freeAddress(), ledger);
+        write(Vector.of(registration(slot, false)), Vector.empty());
+    }
+
+    /** Registers an endpoint as draining and returns after the acknowledgement. */
+    void drainEndpoint(Slot slot) {
+        write(Vector.of(registration(slot, true)), Vector.empty());
+        slot.endpoint.setDraining();
+    }
+
+    void removeEndpoint(Slot slot) {
+        String key = PlatformDocuments.registrationKey(slot.endpoint.id());
+        write(Vector.empty(), Vector.of(key));
+        slot.endpoint.setDraining();
+    }
+
+    private static KeyValueService.Put registration(Slot slot, boolean draining) {
+        StandInEndpoint endpoint = slot.endpoint;
+        return PlatformDocuments.registration(
+                new EndpointRecord(
+                        endpoint.id(),
+                        slot.service,
+                        endpoint.proxy().address(),
+                        new AvailabilityZone("zone-a"),
+                        endpoint.slots(),
+                        draining,
+                        System.currentTimeMillis()),
+                endpoint.softwareVersion());
+    }
+
+    /** Writes the next release; versions increase in uneven steps. */
+    void writeRelease() {
+        int version = releaseVersion.addAndGet(1 + releaseVersion.get() % 3);
+        Vector<RouteRow> routes =
+                Vector.<CallKind>of(
+                                new CallKind.Plain(),
+                                new CallKind.Once(),
+                                new CallKind.Stream(0),
+                                new CallKind.ResumableStream(0),
+                                new CallKind.Turn(0))
+                        .map(Fleet::row);
+        RouteRow added = new RouteRow("extra-" + version, routes.head().semantics(), false, LEDGER);
+        write(
+                Vector.of(
+                        PlatformDocuments.release(
+                                version,
+                                routes.append(added),
+                                ROUTE_TIMEOUT.plusSeconds(version % 3),
+                                RETENTION,
+                                Program.TOKENS_PER_EVENT)),
+                Vector.empty());
+    }
+
+    private static RouteRow row(CallKind kind) {
+        boolean stream =
+                switch (kind) {
+                    case CallKind.Plain(), CallKind.Once() -> false;
+                    case CallKind.Stream(int _),
+                            CallKind.ResumableStream(int _),
+                            CallKind.Turn(int _) ->
+                            true;
+                };
+        return new RouteRow(
+                kind.route(),
+                kind.semantics(),
+                kind instanceof CallKind.Turn,
+                stream ? MODELS : LEDGER);
+    }
+
+    private void write(Seq<KeyValueService.Put> puts, Seq<String> removals) {
+        keyValue.write(Vector.empty(), puts, removals).join();
+    }
+
+    private void addHost(HostId id, boolean entry) throws IOException {
+        LoopbackProxy keyValueProxy = new LoopbackProxy(keyValueAddress);
+        keyValueProxies.add(keyValueProxy);
+        String listeners = "";
+        String storage = "";
+        if (entry) {
+            Address callers = freeAddress();
+            Address directory = freeAddress();
+            LoopbackProxy proxy = new LoopbackProxy(callers);
+            hostProxies.add(proxy);
+            entryHosts.add(id, callers, proxy.address(), directory);
+            listeners =
+                    "callers = \"%s\"\nreadiness = \"%s\"\ndirectory = \"%s\"\n"
+                            .formatted(callers, freeAddress(), directory);
+        } else {
+            Path data = Files.createDirectories(options.folder().resolve(id + "-data"));
+            storage = "folder = \"%s\"\ndisk_mb = 200\n".formatted(data);
+        }
+        String text =
+                """
+                role = "%s"
+                host = "%s"
+                availability_zone = "zone-a"
+                adapter = "fleet"
+                [listeners]
+                peers = "%s"
+                metrics = "%s"
+                %s[key_value]
+                address = "%s"
+                minimum_lease_ms = 1000
+                [storage]
+                tolerated_losses = 1
+                %s[shutdown]
+                grace_s = %d
+                [directory]
+                time_to_live_ms = 1000
+                """
+                        .formatted(
+                                entry ? "entry" : "storage",
+                                id,
+                                freeAddress(),
+                                freeAddress(),
+                                listeners,
+                                keyValueProxy.address(),
+                                storage,
+                                GRACE_MILLIS / 1_000);
+        Path settings = Files.writeString(options.folder().resolve(id + ".toml"), text);
+        hosts.add(new HostProcess(id, settings, entry, ledger));
+    }
+
+    /** Returns an address that no process listens at. */
+    private synchronized Address freeAddress() {
+        while (true) {
+            int port = FIRST_PORT + nextPort++ % PORT_SPAN;
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return new Address("127.0.0.1", socket.getLocalPort());
+            } catch (IOException e) {
+                // Another process uses the port; the next one is tried.
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (HostProcess host : hosts) {
+            host.kill();
+        }
+        for (Slot slot : slots) {
+            slot.endpoint.close();
+        }
+        for (LoopbackProxy proxy : hostProxies) {
+            proxy.close();
+        }
+        for (LoopbackProxy proxy : keyValueProxies) {
+            proxy.close();
+        }
+        keyValueServer.close();
+    }
+}
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
@@ -0,0 +1,169 @@
+package org.tamarackfold.daemon.soak.runtime;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.function.Supplier;
+import org.tamarackfold.daemon.soak.FaultTimeline;
+import org.tamarackfold.daemon.soak.Ledger;
+import org.tamarackfold.daemon.soak.Rule;
+import org.tamarackfold.daemon.soak.http.Caller;
+
+/**
+ * One run of the fault soak: starts the processes and stand-ins, lets callers work, injects faults
+ * in episodes, and checks that the service returns after each.
+ */
+public final class SoakSession {
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration PLANNED_EPISODE = Duration.ofSeconds(25);
+    private static final Duration UNPLANNED_EPISODE = Duration.ofSeconds(12);
+
+    /** Time within which the service must be back after the last fault. */
+    private static final Duration RECOVERY = Duration.ofSeconds(12);
+
+    private static final Duration RECOVERY_WINDOW = Duration.ofSeconds(4);
+    private static final long POLL_MILLIS = 100;
+
+    /** One of so many attempts must be served after the recovery. */
+    private static final int RECOVERED_PART = 4;
+
+    private final SoakOptions options;
+    private final PrintStream out;
+    private final FaultTimeline timeline = new FaultTimeline();
+    private final Ledger ledger;
+    private final List<Caller> callers = new ArrayList<>();
+    private final List<Thread> callerThreads = new ArrayList<>();
+
+    private SoakSession(SoakOptions options, PrintStream out) {
+        this.options = options;
+        this.out = out;
+        ledger = new Ledger(timeline, out, options.seed(), Fleet.GRACE_MILLIS * 1_000_000);
+    }
+
+    /**
+     * Runs a soak and returns the violations, of which each has been printed with its time.
+     *
+     * @param out receives faults, violations and a summary
+     */
+    public static Vector<String> run(SoakOptions options, PrintStream out)
+            throws IOException, InterruptedException, ExecutionException {
+        SoakSession session = new SoakSession(options, out);
+        session.run();
+        return session.ledger.violations();
+    }
+
+    private void run() throws IOException, InterruptedException, ExecutionException {
+        try (Fleet fleet = new Fleet(options, ledger);
+                FaultInjector injector = new FaultInjector(fleet, timeline, ledger, out)) {
+            FaultTimeline.Entry start = timeline.begin("start", false);
+            startCallers(fleet);
+            awaitService();
+            start.end();
+            runEpisodes(fleet, injector);
+            callers.forEach(Caller::stop);
+            for (Thread thread : callerThreads) {
+                thread.join();
+            }
+        }
+        out.println(
+                "seed=%d violations=%d attempts=%s logs=%s"
+                        .formatted(
+                                options.seed(),
+                                ledger.violations().size(),
+                                ledger.counts(),
+                                options.folder()));
+    }
+
+    private void startCallers(Fleet fleet) {
+        for (int i = 1; i <= options.callers(); i++) {
+            long seed = options.seed() * 1_000 + i;
+            Caller caller = new Caller("c" + i, ledger, fleet.entryHosts, seed);
+            callers.add(caller);
+            callerThreads.add(Thread.ofVirtual().start(caller));
+        }
+    }
+
+    /** Waits until each kind of call has been served. */
+    private void awaitService() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + START_TIMEOUT.toNanos();
+        while (served(ledger.counts()).size() < 5) {
+            if (System.nanoTime() - deadlineNanos > 0) {
+                ledger.report(Rule.RECOVER, "none", "not all kinds served after the start");
+                return;
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private static Vector<String> served(Map<String, Integer> counts) {
+        return Vector.ofAll(counts.keySet()).filter(name -> name.endsWith(" served"));
+    }
+
+    /** Alternates between planned work, whose bounds are strict, and unplanned faults. */
+    private void runEpisodes(Fleet fleet, FaultInjector injector)
+            throws InterruptedException, ExecutionException {
+        boolean versions = options.faults() == SoakOptions.FaultSelection.VERSIONS;
+        FaultPlan plan = new FaultPlan(fleet, new Random(options.seed()), versions);
+        boolean unplanned = options.faults() != SoakOptions.FaultSelection.PLANNED;
+        long endNanos = System.nanoTime() + options.duration().toNanos();
+        while (System.nanoTime() - endNanos < 0) {
+            Thread.sleep(FaultTimeline.CONTACT_NANOS / 1_000_000);
+            episode(plan, injector, plan::nextPlanned, min(PLANNED_EPISODE, endNanos));
+            if (unplanned) {
+                episode(plan, injector, plan::nextUnplanned, min(UNPLANNED_EPISODE, endNanos));
+            }
+            checkRecovery();
+        }
+    }
+
+    private static Duration min(Duration episode, long endNanos) {
+        Duration left = Duration.ofNanos(endNanos - System.nanoTime());
+        Duration least = Duration.ofSeconds(5);
+        return left.compareTo(least) < 0 ? least : left.compareTo(episode) < 0 ? left : episode;
+    }
+
+    private static void episode(
+            FaultPlan plan, FaultInjector injector, Supplier<Fault> next, Duration duration)
+            throws InterruptedException, ExecutionException {
+        long endNanos = System.nanoTime() + duration.toNanos();
+        List<Future<?>> running = new ArrayList<>();
+        while (System.nanoTime() - endNanos < 0) {
+            running.add(injector.inject(next.get()));
+            Thread.sleep(plan.nextPauseMillis());
+        }
+        for (Future<?> fault : running) {
+            fault.get();
+        }
+    }
+
+    /** Checks each kind of call after the time that the service has for its recovery. */
+    private void checkRecovery() throws InterruptedException {
+        Thread.sleep(RECOVERY);
+        Map<String, Integer> before = ledger.counts();
+        Thread.sleep(RECOVERY_WINDOW);
+        Map<String, Integer> after = ledger.counts();
+        for (String name : served(after)) {
+            String route = name.substring(0, name.indexOf(' ') + 1);
+            int attempts = count(after, route) - count(before, route);
+            int served = count(after, name) - count(before, name);
+            if (served * RECOVERED_PART < attempts) {
+                String seen = "%d of %d attempts of route %sserved 12 s after the last fault";
+                ledger.report(Rule.RECOVER, "none", seen.formatted(served, attempts, route));
+            }
+        }
+    }
+
+    private static int count(Map<String, Integer> counts, String prefix) {
+        return counts.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(prefix))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+}
