--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
@@ -20,6 +20,9 @@
     /** Time until a draining endpoint must not receive new calls, in nanoseconds. */
     private static final long DRAIN_NANOS = 2_000_000_000L;
 
+    /** Time after the grace period for which a stop counts as planned, in nanoseconds. */
+    private static final long AFTER_GRACE_NANOS = 1_000_000_000L;
+
     /** Calls that hosts may cut outside of any stop; the platform allows as many. */
     private static final int ALLOWED_CUTS = 3;
 
@@ -192,7 +195,7 @@
                 checkRefusal(id, attempt, rejected);
                 checkClientError(id, attempt, rejected);
             }
-            case Outcome.Broken(String reason) -> checkCut(id, attempt, reason);
+            case Outcome.Broken broken -> checkCut(id, attempt, broken);
             case Outcome.Served(), Outcome.NotSent(), Outcome.Abandoned() -> {}
         }
     }
@@ -201,7 +204,7 @@
         return switch (outcome) {
             case Outcome.Rejected(int status, long _) -> "status-" + status;
             case Outcome.Served() -> "served";
-            case Outcome.Broken(String _) -> "broken";
+            case Outcome.Broken(String _, boolean _) -> "broken";
             case Outcome.NotSent() -> "not-sent";
             case Outcome.Abandoned() -> "abandoned";
         };
@@ -229,15 +232,19 @@
     }
 
     /** Checks a connection that ended without a complete answer. */
-    private void checkCut(CallId id, Attempt attempt, String reason) {
+    private void checkCut(CallId id, Attempt attempt, Outcome.Broken broken) {
         long nowNanos = System.nanoTime();
-        boolean read = attempt.runs > 0 || nowNanos - attempt.sentNanos > LOSS_SLACK_NANOS;
+        boolean read =
+                attempt.runs > 0
+                        || !broken.hostRefused() && nowNanos - attempt.sentNanos > LOSS_SLACK_NANOS;
         boolean atDeadline = nowNanos - attempt.deadlineNanos > -LOSS_SLACK_NANOS;
         if (!read || atDeadline || faults.isDisturbed(attempt.sentNanos, nowNanos)) {
             return;
         }
         long stopNanos = faults.plannedStopAt(attempt.host.value(), nowNanos);
-        if (stopNanos >= 0 && isExcusedAtEndOfGrace(attempt, stopNanos)) {
+        if (stopNanos >= 0
+                && (isExcusedAtEndOfGrace(attempt, stopNanos)
+                        || nowNanos - stopNanos > graceNanos + AFTER_GRACE_NANOS)) {
             return;
         }
         String seen =
@@ -250,7 +257,7 @@
                                         : "%.3f s after SIGTERM"
                                                 .formatted((nowNanos - stopNanos) / 1e9),
                                 attempt.runs,
-                                reason);
+                                broken.reason());
         if (stopNanos >= 0 || ++cuts > ALLOWED_CUTS) {
             report(Rule.LOST, id, seen);
         } else {
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Outcome.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Outcome.java
@@ -20,8 +20,12 @@
         }
     }
 
-    /** The connection ended before the end of the answer. */
-    record Broken(String reason) implements Outcome {}
+    /**
+     * The connection ended before the end of the answer.
+     *
+     * @param hostRefused whether the host refused connections meanwhile, perhaps this one
+     */
+    record Broken(String reason, boolean hostRefused) implements Outcome {}
 
     /** No connection was established. */
     record NotSent() implements Outcome {}
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -1,24 +1,20 @@
 package org.tamarackfold.daemon.soak.http;
 
 import io.vavr.collection.Vector;
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
+import java.io.ByteArrayOutputStream;
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.net.http.HttpTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Random;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.caller.http.CallHeaderNames;
 import org.tamarackfold.daemon.soak.CallKind;
@@ -27,7 +23,6 @@
 import org.tamarackfold.daemon.soak.Program;
 import org.tamarackfold.daemon.soak.Rule;
 import org.tamarackfold.id.CallId;
-import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.platform.standin.PlatformDocuments;
 
@@ -45,9 +40,6 @@
     private static final int MAXIMUM_PAUSE_MILLIS = 250;
     private static final int OK = 200;
     private static final int PAYMENT_REQUIRED = 402;
-    private static final ScheduledExecutorService WATCHDOG =
-            Executors.newSingleThreadScheduledExecutor(
-                    Thread.ofPlatform().daemon().name("caller-watchdog").factory());
 
     private final String name;
     private final Ledger ledger;
@@ -63,28 +55,11 @@
     private int callCount;
 
     /** Creates a caller; the seed decides its calls. */
-    public Caller(String name, Ledger ledger, EntryHosts hosts, long seed) {
+    public Caller(String name, Ledger ledger, Iterable<EntryHost> hosts, long seed) {
         this.name = name;
         this.ledger = ledger;
         this.random = new Random(seed);
-        this.addresses = new EntryAddresses(client, hosts.hosts, random);
-    }
-
-    /** The entry hosts that callers may use. */
-    public static final class EntryHosts {
-        private Vector<EntryAddresses.EntryEndpoint> hosts = Vector.empty();
-
-        /** Creates an empty list. */
-        public EntryHosts() {}
-
-        /** Adds a host with the addresses of its callers, of the proxy, and of its directory. */
-        public void add(
-                HostId id,
-                org.tamarackfold.id.Address callers,
-                org.tamarackfold.id.Address proxy,
-                org.tamarackfold.id.Address directory) {
-            hosts = hosts.append(new EntryAddresses.EntryEndpoint(id, callers, proxy, directory));
-        }
+        this.addresses = new EntryAddresses(client, Vector.ofAll(hosts), random);
     }
 
     /** Makes the caller end after its present call. */
@@ -160,7 +135,7 @@
             return switch (outcome) {
                 case Outcome.Served(), Outcome.Abandoned() -> false;
                 case Outcome.NotSent() -> true;
-                case Outcome.Broken(String _) -> kind.mayRunAgain();
+                case Outcome.Broken(String _, boolean _) -> kind.mayRunAgain();
                 case Outcome.Rejected rejected ->
                         rejected.status() != PAYMENT_REQUIRED
                                 && (rejected.promisesNotRun()
@@ -175,35 +150,65 @@
         }
 
         private Outcome attempt(CallId attempt) throws InterruptedException {
-            EntryAddresses.EntryEndpoint host = addresses.select();
+            EntryHost host = addresses.select();
             String body = kind instanceof CallKind.Turn ? program.expectedBody(input) : input;
             ledger.sent(attempt, id, kind, host.id(), body, deadlineNanos);
+            Outcome outcome = exchange(attempt, request(attempt, host), host.proxy());
+            ledger.ended(attempt, outcome);
+            if (!(outcome instanceof Outcome.Served)) {
+                addresses.markFailed(host);
+            }
+            return outcome;
+        }
+
+        /** Sends a request and receives what arrives; the events before a fault count too. */
+        private Outcome exchange(CallId attempt, HttpRequest request, LoopbackProxy proxy)
+                throws InterruptedException {
+            long sentNanos = System.nanoTime();
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            CompletableFuture<HttpResponse<Void>> future =
+                    client.sendAsync(
+                            request,
+                            HttpResponse.BodyHandlers.ofByteArrayConsumer(
+                                    part -> part.ifPresent(body::writeBytes)));
             Outcome outcome;
             try {
-                outcome = receive(attempt, client.send(request(attempt, host), ofInputStream()));
-            } catch (ConnectException | HttpConnectTimeoutException e) {
-                outcome = new Outcome.NotSent();
-            } catch (HttpTimeoutException e) {
+                long patienceMillis = remainingMillis() + PATIENCE_MILLIS;
+                outcome = answered(future.get(patienceMillis, TimeUnit.MILLISECONDS));
+                if (outcome instanceof Outcome.Served) {
+                    checkSignature(attempt, future.join(), body.toString(StandardCharsets.UTF_8));
+                }
+            } catch (TimeoutException e) {
+                future.cancel(true);
                 outcome = new Outcome.Abandoned();
-            } catch (IOException e) {
-                outcome = new Outcome.Broken(String.valueOf(e.getMessage()));
+            } catch (ExecutionException e) {
+                outcome = failed(e.getCause(), proxy.hasRefusedSince(sentNanos));
             }
-            ledger.ended(attempt, outcome);
-            if (!(outcome instanceof Outcome.Served)) {
-                addresses.markFailed(host);
+            receiveEvents(attempt, body.toString(StandardCharsets.UTF_8));
+            if (outcome instanceof Outcome.Served) {
+                checkEnd(attempt);
             }
             return outcome;
         }
 
-        private static HttpResponse.BodyHandler<InputStream> ofInputStream() {
-            return HttpResponse.BodyHandlers.ofInputStream();
+        private static Outcome answered(HttpResponse<?> response) {
+            return response.statusCode() == OK
+                    ? new Outcome.Served()
+                    : new Outcome.Rejected(response.statusCode(), retryAfter(response));
         }
 
-        private HttpRequest request(CallId attempt, EntryAddresses.EntryEndpoint host) {
-            URI uri = URI.create("http://%s/%s/%s".formatted(host.proxy(), kind.route(), id));
+        private static Outcome failed(Throwable cause, boolean hostRefused) {
+            return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException
+                    ? new Outcome.NotSent()
+                    : new Outcome.Broken(String.valueOf(cause.getMessage()), hostRefused);
+        }
+
+        private HttpRequest request(CallId attempt, EntryHost host) {
+            URI uri =
+                    URI.create(
+                            "http://%s/%s/%s".formatted(host.proxy().address(), kind.route(), id));
             HttpRequest.Builder request =
                     HttpRequest.newBuilder(uri)
-                            .timeout(Duration.ofMillis(remainingMillis() + PATIENCE_MILLIS))
                             .header(NAMES.callId().toString(), attempt.value())
                             .header(NAMES.deadline().toString(), "" + remainingMillis())
                             .header(StandInEndpoint.PAUSE.toString(), "" + pauseMillis)
@@ -231,41 +236,6 @@
             }
         }
 
-        private Outcome receive(CallId attempt, HttpResponse<InputStream> response)
-                throws IOException {
-            AtomicBoolean abandoned = new AtomicBoolean();
-            InputStream stream = response.body();
-            ScheduledFuture<?> watchdog =
-                    WATCHDOG.schedule(
-                            () -> abandon(stream, abandoned),
-                            remainingMillis() + PATIENCE_MILLIS,
-                            TimeUnit.MILLISECONDS);
-            try (stream) {
-                if (response.statusCode() != OK) {
-                    stream.readAllBytes();
-                    return new Outcome.Rejected(response.statusCode(), retryAfter(response));
-                }
-                receiveBody(attempt, response, stream);
-                return new Outcome.Served();
-            } catch (IOException e) {
-                if (abandoned.get()) {
-                    return new Outcome.Abandoned();
-                }
-                throw e;
-            } finally {
-                watchdog.cancel(false);
-            }
-        }
-
-        private static void abandon(InputStream stream, AtomicBoolean abandoned) {
-            abandoned.set(true);
-            try {
-                stream.close();
-            } catch (IOException e) {
-                // The connection has already ended.
-            }
-        }
-
         private static long retryAfter(HttpResponse<?> response) {
             return response.headers()
                     .firstValue("Retry-After")
@@ -273,45 +243,32 @@
                     .orElse(0L);
         }
 
-        private void receiveBody(
-                CallId attempt, HttpResponse<InputStream> response, InputStream stream)
-                throws IOException {
+        private void checkSignature(CallId attempt, HttpResponse<?> response, String body) {
             String signature =
                     response.headers()
                             .firstValue(PlatformDocuments.SIGNATURE.toString())
                             .orElse("none");
-            if (kind.eventCount() == 0) {
-                String body = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
-                if (!ledger.isAnswer(attempt, signature, body)) {
-                    String seen = "the body of %d bytes with signature %s is not the endpoint's";
-                    ledger.report(Rule.MIXED, attempt, seen.formatted(body.length(), signature));
-                }
-                return;
-            }
-            if (!ledger.isAnswer(attempt, signature, null)) {
-                ledger.report(Rule.MIXED, attempt, "signature " + signature + " is of another run");
+            if (!ledger.isAnswer(attempt, signature, kind.eventCount() == 0 ? body : null)) {
+                String seen = "the body of %d bytes with signature %s is not the endpoint's";
+                ledger.report(Rule.MIXED, attempt, seen.formatted(body.length(), signature));
             }
-            receiveEvents(attempt, stream);
         }
 
-        private void receiveEvents(CallId attempt, InputStream stream) throws IOException {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(stream, StandardCharsets.UTF_8));
-            String pending = null;
-            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+        /** Reads the complete events of a body, which may end early. */
+        private void receiveEvents(CallId attempt, String body) {
+            int end = body.lastIndexOf("\n\n");
+            for (String line : body.substring(0, Math.max(end, 0)).split("\n")) {
                 if (line.startsWith("data: ")) {
-                    pending = line.substring("data: ".length());
-                } else if (line.isEmpty() && pending != null) {
-                    receiveEvent(attempt, StreamEvent.decode(pending));
-                    pending = null;
+                    receiveEvent(attempt, StreamEvent.decode(line.substring("data: ".length())));
                 }
             }
+        }
+
+        private void checkEnd(CallId attempt) {
             if (events.size() < kind.eventCount()) {
+                String seen = "the stream is complete after event %d of %d";
                 ledger.report(
-                        Rule.ORDER,
-                        attempt,
-                        "the stream is complete after event %d of %d"
-                                .formatted(events.size(), kind.eventCount()));
+                        Rule.ORDER, attempt, seen.formatted(events.size(), kind.eventCount()));
             } else if (kind instanceof CallKind.Turn) {
                 program.addTurn(attempt, input, events.map(StreamEvent::data));
             }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/EntryAddresses.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/EntryAddresses.java
@@ -8,8 +8,6 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Random;
-import org.tamarackfold.id.Address;
-import org.tamarackfold.id.HostId;
 import org.tamarackfold.platform.standin.PlatformDocuments;
 
 /** The entry hosts that one caller uses, as the directories name them. Used by one thread. */
@@ -18,26 +16,17 @@
     private static final int MAXIMUM_DIRECTORIES = 3;
 
     private final HttpClient client;
-    private final Vector<EntryEndpoint> hosts;
+    private final Vector<EntryHost> hosts;
     private final Random random;
 
     /** Whether the caller stays with a host until an attempt fails; others follow directories. */
     private final boolean staysWithHost;
 
-    private Vector<EntryEndpoint> named = Vector.empty();
+    private Vector<EntryHost> named = Vector.empty();
     private long expiryNanos = System.nanoTime();
-    private EntryEndpoint current;
+    private EntryHost current;
 
-    /**
-     * An entry host.
-     *
-     * @param callers the address that directories name
-     * @param proxy the address of the proxy in front of it
-     * @param directory the address of its directory
-     */
-    record EntryEndpoint(HostId id, Address callers, Address proxy, Address directory) {}
-
-    EntryAddresses(HttpClient client, Vector<EntryEndpoint> hosts, Random random) {
+    EntryAddresses(HttpClient client, Vector<EntryHost> hosts, Random random) {
         this.client = client;
         this.hosts = hosts;
         this.random = random;
@@ -45,7 +34,7 @@
     }
 
     /** Returns the host for the next attempt. */
-    EntryEndpoint select() throws InterruptedException {
+    EntryHost select() throws InterruptedException {
         if (current != null && staysWithHost) {
             return current;
         }
@@ -57,19 +46,19 @@
     }
 
     /** Selects another host next, because an attempt at this one has failed. */
-    void markFailed(EntryEndpoint host) {
+    void markFailed(EntryHost host) {
         named = named.remove(host);
         current = null;
     }
 
-    private EntryEndpoint pick(Vector<EntryEndpoint> from) {
+    private EntryHost pick(Vector<EntryHost> from) {
         return from.get(random.nextInt(from.size()));
     }
 
     private void ask() throws InterruptedException {
-        Vector<EntryEndpoint> directories =
+        Vector<EntryHost> directories =
                 hosts.sortBy(host -> random.nextInt()).take(MAXIMUM_DIRECTORIES);
-        for (EntryEndpoint directory : directories) {
+        for (EntryHost directory : directories) {
             URI uri =
                     URI.create(
                             "http://%s%s?name=soak&region=r&zone=zone-a"
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
@@ -10,6 +10,7 @@
 import java.net.StandardSocketOptions;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.id.Address;
 
 /**
@@ -17,7 +18,7 @@
  * copy the bytes of a connection.
  */
 public final class LoopbackProxy implements AutoCloseable {
-    /** What happens to the bytes of all connections. */
+    /** What happens to the bytes. */
     public sealed interface Condition {
         /** Bytes pass. */
         record Clear() implements Condition {}
@@ -49,6 +50,7 @@
     private final ServerSocket listener;
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
     private volatile Condition condition = new Condition.Clear();
+    private volatile long lastRefusalNanos = Long.MIN_VALUE;
 
     /** Starts a proxy at a free port of the loopback interface. */
     public LoopbackProxy(Address target) throws IOException {
@@ -62,6 +64,11 @@
         return new Address("127.0.0.1", listener.getLocalPort());
     }
 
+    /** Returns whether the target has refused a connection since a time. */
+    boolean hasRefusedSince(long nanos) {
+        return lastRefusalNanos >= nanos;
+    }
+
     /** Sets what happens to open and new connections. */
     public void set(Condition value) {
         condition = value;
@@ -96,6 +103,7 @@
     private final class Link {
         private final Socket client;
         private final Socket server = new Socket();
+        private final AtomicInteger endedDirections = new AtomicInteger();
         private volatile boolean silentToServer;
         private volatile boolean silentToClient;
 
@@ -110,8 +118,7 @@
                     reset();
                     return;
                 }
-                server.connect(
-                        new InetSocketAddress(target.ip(), target.port()), CONNECT_TIMEOUT_MILLIS);
+                connect();
                 client.setTcpNoDelay(true);
                 server.setTcpNoDelay(true);
                 Thread.ofVirtual().start(() -> copy(server, client, false));
@@ -121,6 +128,16 @@
             }
         }
 
+        private void connect() throws IOException {
+            try {
+                server.connect(
+                        new InetSocketAddress(target.ip(), target.port()), CONNECT_TIMEOUT_MILLIS);
+            } catch (IOException e) {
+                lastRefusalNanos = System.nanoTime();
+                throw e;
+            }
+        }
+
         /** Copies bytes until the end of input, which is passed on, or until a fault. */
         private void copy(Socket from, Socket to, boolean toServer) {
             byte[] block = new byte[BLOCK_BYTES];
@@ -135,7 +152,11 @@
                 if (passes(toServer)) {
                     to.shutdownOutput();
                 }
-                finish();
+                if (endedDirections.incrementAndGet() == 2) {
+                    links.remove(this);
+                    from.close();
+                    to.close();
+                }
             } catch (IOException e) {
                 reset();
             }
@@ -162,17 +183,6 @@
             }
         }
 
-        private void finish() throws IOException {
-            if (client.isInputShutdown() || server.isClosed()) {
-                return;
-            }
-            if (client.isOutputShutdown() && server.isOutputShutdown()) {
-                client.close();
-                server.close();
-                links.remove(this);
-            }
-        }
-
         void reset() {
             links.remove(this);
             close(client);
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
@@ -33,7 +33,7 @@
     private static final int UNAVAILABLE = 503;
 
     /** Calls that run at the same time; more are rejected. */
-    private static final int SLOTS = 32;
+    public static final int SLOTS = 32;
 
     private static final AtomicInteger NEXT_RUN = new AtomicInteger();
 
@@ -76,11 +76,6 @@
         return proxy;
     }
 
-    /** Returns the number of slots to register. */
-    public int slots() {
-        return SLOTS;
-    }
-
     public int running() {
         return running.get();
     }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultInjector.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultInjector.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
+import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -38,7 +39,10 @@
         this.out = out;
     }
 
-    /** Starts a fault; the future completes when it has ended. */
+    /**
+     * Starts a fault; the future completes when it has ended. A target that another fault holds is
+     * left out.
+     */
     Future<?> inject(Fault fault) {
         return threads.submit(
                 () -> {
@@ -54,37 +58,27 @@
 
     private void run(Fault fault) throws IOException, InterruptedException {
         switch (fault) {
-            case Fault.Stop(HostProcess host) -> withHost(fault, host, () -> stop(host));
-            case Fault.Kill(HostProcess host, long pauseMillis) ->
-                    withHost(
-                            fault,
-                            host,
-                            () -> {
-                                host.kill();
-                                Thread.sleep(pauseMillis);
-                                host.start();
-                            });
+            case Fault.Stop(HostProcess host) -> {
+                Semaphore stops = host.isEntry() ? entryStops : storageStops;
+                if (stops.tryAcquire()) {
+                    reserved(fault, List.of(host), FaultInjector::stop);
+                    stops.release();
+                }
+            }
+            case Fault.Kill(List<HostProcess> hosts, long pauseMillis) ->
+                    reserved(fault, hosts, free -> kill(free, pauseMillis));
             case Fault.Freeze(HostProcess host, long pauseMillis) ->
-                    withHost(
-                            fault,
-                            host,
-                            () -> {
-                                host.signal("STOP");
-                                Thread.sleep(pauseMillis);
-                                host.signal("CONT");
-                            });
-            case Fault.Reload(HostProcess host) -> withHost(fault, host, () -> reload(host));
-            case Fault.KillAll() -> timed(fault, this::killAll);
+                    reserved(fault, List.of(host), free -> freeze(free, pauseMillis));
+            case Fault.Reload(HostProcess host) ->
+                    reserved(fault, List.of(host), FaultInjector::reload);
             case Fault.NewRelease() -> timed(fault, fleet::writeRelease);
             case Fault.Replace(Fleet.Slot slot, boolean reported, String version) -> {
-                if (slot.reserve()) {
+                if (slot.reservation.tryAcquire()) {
                     timed(fault, () -> replace(slot, reported, version));
-                    slot.release();
+                    slot.reservation.release();
                 }
             }
             case Fault.Disconnect disconnect -> timed(fault, () -> disconnect(disconnect));
-            case Fault.SilentKeyValueService(long pauseMillis) ->
-                    timed(fault, () -> silenceKeyValueService(pauseMillis));
         }
     }
 
@@ -93,28 +87,23 @@
         void run() throws IOException, InterruptedException;
     }
 
-    private void withHost(Fault fault, HostProcess host, Action action)
+    /** A step for the hosts that no other fault holds. */
+    private interface HostAction {
+        void run(List<HostProcess> hosts) throws IOException, InterruptedException;
+    }
+
+    private void reserved(Fault fault, List<HostProcess> hosts, HostAction action)
             throws IOException, InterruptedException {
-        if (!host.reserve()) {
-            return;
+        List<HostProcess> free = hosts.stream().filter(HostProcess::reserve).toList();
+        if (!free.isEmpty()) {
+            timed(fault, () -> action.run(free));
         }
-        Semaphore stops = host.isEntry() ? entryStops : storageStops;
-        boolean limited = fault instanceof Fault.Stop;
-        if (!limited || stops.tryAcquire()) {
-            try {
-                timed(fault, action);
-            } finally {
-                if (limited) {
-                    stops.release();
-                }
-            }
-        }
-        host.release();
+        free.forEach(HostProcess::release);
     }
 
     private void timed(Fault fault, Action action) throws IOException, InterruptedException {
-        String text = describe(fault) + " scope=" + fault.scope();
-        FaultTimeline.Entry entry = timeline.begin(fault.scope(), fault.planned());
+        String text = fault.getClass().getSimpleName() + " " + fault.scope();
+        FaultTimeline.Entry entry = timeline.begin(fault.scope(), fault instanceof Fault.Planned);
         print("fault", text);
         action.run();
         entry.end();
@@ -126,35 +115,33 @@
         out.println(event + " at=" + at + "s " + fault);
     }
 
-    private static String describe(Fault fault) {
-        return fault instanceof Fault.Disconnect disconnect
-                ? "Disconnect " + disconnect.condition()
-                : fault.getClass().getSimpleName();
+    private static void stop(List<HostProcess> hosts) throws IOException, InterruptedException {
+        hosts.getFirst().terminate(Fleet.GRACE_MILLIS);
+        Thread.sleep(RESTART_MILLIS);
+        hosts.getFirst().start();
     }
 
-    private static void stop(HostProcess host) throws IOException, InterruptedException {
-        host.terminate(Fleet.GRACE_MILLIS);
-        Thread.sleep(RESTART_MILLIS);
-        host.start();
+    private static void kill(List<HostProcess> hosts, long pauseMillis)
+            throws IOException, InterruptedException {
+        hosts.forEach(HostProcess::kill);
+        Thread.sleep(pauseMillis);
+        for (HostProcess host : hosts) {
+            host.start();
+        }
     }
 
-    private static void reload(HostProcess host) throws IOException, InterruptedException {
-        String text = Files.readString(host.settings());
-        Files.writeString(host.settings(), text.replace("_ms = 1000", "_ms = 1100"));
-        host.signal("HUP");
+    private static void freeze(List<HostProcess> hosts, long pauseMillis)
+            throws IOException, InterruptedException {
+        hosts.getFirst().signal("STOP");
+        Thread.sleep(pauseMillis);
+        hosts.getFirst().signal("CONT");
     }
 
-    /** Disks are kept. The hosts that another fault holds come back with that fault. */
-    private void killAll() throws IOException, InterruptedException {
-        var reserved = fleet.hosts.stream().filter(HostProcess::reserve).toList();
-        for (HostProcess host : reserved) {
-            host.kill();
-        }
-        Thread.sleep(RESTART_MILLIS);
-        for (HostProcess host : reserved) {
-            host.start();
-            host.release();
-        }
+    private static void reload(List<HostProcess> hosts) throws IOException, InterruptedException {
+        HostProcess host = hosts.getFirst();
+        String text = Files.readString(host.settings());
+        Files.writeString(host.settings(), text.replace("live_ms = 1000", "live_ms = 1100"));
+        host.hangUp();
     }
 
     /** The endpoint ends once its calls have ended, and not before the drain period. */
@@ -162,35 +149,26 @@
             throws IOException, InterruptedException {
         StandInEndpoint leaving = slot.endpoint;
         if (reported) {
-            fleet.drainEndpoint(slot);
+            fleet.register(slot, true);
         } else {
             fleet.removeEndpoint(slot);
         }
+        leaving.setDraining();
         Thread.sleep(DRAIN_MILLIS);
         while (leaving.running() > 0) {
             Thread.sleep(POLL_MILLIS);
         }
-        if (reported) {
-            fleet.removeEndpoint(slot);
-        }
+        fleet.removeEndpoint(slot);
         fleet.startEndpoint(slot, version);
         leaving.close();
     }
 
     private static void disconnect(Fault.Disconnect fault) throws InterruptedException {
-        fault.proxy().set(fault.condition());
+        fault.proxies().forEach(proxy -> proxy.set(fault.condition()));
         Thread.sleep(fault.pauseMillis());
-        fault.proxy().set(new LoopbackProxy.Condition.Clear());
+        fault.proxies().forEach(proxy -> proxy.set(new LoopbackProxy.Condition.Clear()));
         if (fault.resetAtEnd()) {
-            fault.proxy().reset();
+            fault.proxies().forEach(LoopbackProxy::reset);
         }
     }
-
-    private void silenceKeyValueService(long pauseMillis) throws InterruptedException {
-        fleet.keyValueProxies.forEach(
-                proxy -> proxy.set(new LoopbackProxy.Condition.Silent(true, true)));
-        Thread.sleep(pauseMillis);
-        fleet.keyValueProxies.forEach(proxy -> proxy.set(new LoopbackProxy.Condition.Clear()));
-        fleet.keyValueProxies.forEach(LoopbackProxy::reset);
-    }
 }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -3,16 +3,17 @@
 import java.util.List;
 import java.util.Random;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
 
 /** Chooses faults at random from a seed. Used by one thread. */
 final class FaultPlan {
-    private static final LoopbackProxy.Condition[] CONDITIONS = {
-        new LoopbackProxy.Condition.Delayed(150),
-        new LoopbackProxy.Condition.Refusing(),
-        new LoopbackProxy.Condition.Silent(true, true),
-        new LoopbackProxy.Condition.Silent(true, false),
-        new LoopbackProxy.Condition.Silent(false, true),
-    };
+    private static final List<Condition> CONDITIONS =
+            List.of(
+                    new Condition.Delayed(150),
+                    new Condition.Refusing(),
+                    new Condition.Silent(true, true),
+                    new Condition.Silent(true, false),
+                    new Condition.Silent(false, true));
 
     private final Fleet fleet;
     private final Random random;
@@ -46,25 +47,29 @@
     Fault nextUnplanned() {
         long pauseMillis = 200 + random.nextInt(3_000);
         return switch (random.nextInt(10)) {
-            case 0 -> new Fault.Kill(host(true), pauseMillis);
-            case 1 -> new Fault.Kill(host(false), pauseMillis);
+            case 0 -> new Fault.Kill(List.of(host(true)), pauseMillis);
+            case 1 -> new Fault.Kill(List.of(host(false)), pauseMillis);
             case 2 -> new Fault.Freeze(pick(fleet.hosts), pauseMillis);
-            case 3 -> random.nextInt(3) == 0 ? new Fault.KillAll() : nextPlanned();
-            case 4 -> new Fault.SilentKeyValueService(pauseMillis);
-            case 5 -> disconnect("callers", pick(fleet.hostProxies), pauseMillis);
-            case 6 -> disconnect("key-value client", pick(fleet.keyValueProxies), pauseMillis);
+            case 3 -> random.nextInt(3) == 0 ? new Fault.Kill(fleet.hosts, 300) : nextPlanned();
+            case 4 -> disconnect("hosts and key-value service", fleet.keyValueProxies, pauseMillis);
+            case 5 -> disconnect("callers", List.of(pick(fleet.hostProxies)), pauseMillis);
+            case 6 ->
+                    disconnect(
+                            "a host and the key-value service",
+                            List.of(pick(fleet.keyValueProxies)),
+                            pauseMillis);
             case 7, 8 -> {
                 Fleet.Slot slot = pick(fleet.slots);
-                yield disconnect(
-                        "endpoint " + slot.endpoint.id(), slot.endpoint.proxy(), pauseMillis);
+                String peers = "hosts and " + slot.endpoint.id();
+                yield disconnect(peers, List.of(slot.endpoint.proxy()), pauseMillis);
             }
             default -> nextPlanned();
         };
     }
 
-    private Fault disconnect(String scope, LoopbackProxy proxy, long pauseMillis) {
-        LoopbackProxy.Condition condition = CONDITIONS[random.nextInt(CONDITIONS.length)];
-        return new Fault.Disconnect(scope, proxy, condition, pauseMillis, random.nextBoolean());
+    private Fault disconnect(String peers, List<LoopbackProxy> proxies, long pauseMillis) {
+        return new Fault.Disconnect(
+                peers, proxies, pick(CONDITIONS), pauseMillis, random.nextBoolean());
     }
 
     private HostProcess host(boolean entry) {
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -10,11 +10,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.daemon.soak.CallKind;
 import org.tamarackfold.daemon.soak.Ledger;
 import org.tamarackfold.daemon.soak.Program;
-import org.tamarackfold.daemon.soak.http.Caller;
+import org.tamarackfold.daemon.soak.http.EntryHost;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
 import org.tamarackfold.daemon.soak.http.StandInEndpoint;
 import org.tamarackfold.endpoint.EndpointRecord;
@@ -37,6 +38,7 @@
     /** Time from SIGTERM to SIGKILL, in milliseconds. */
     static final long GRACE_MILLIS = 8_000;
 
+    private static final AvailabilityZone ZONE = new AvailabilityZone("zone-a");
     private static final ServiceName LEDGER = new ServiceName("ledger");
     private static final ServiceName MODELS = new ServiceName("models");
     private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(20);
@@ -52,21 +54,13 @@
     static final class Slot {
         final ServiceName service;
         volatile StandInEndpoint endpoint;
-        private boolean busy;
+
+        /** Held by the fault that replaces the endpoint. */
+        final Semaphore reservation = new Semaphore(1);
 
         Slot(ServiceName service) {
             this.service = service;
         }
-
-        synchronized boolean reserve() {
-            boolean free = !busy;
-            busy = true;
-            return free;
-        }
-
-        synchronized void release() {
-            busy = false;
-        }
     }
 
     private final SoakOptions options;
@@ -85,7 +79,7 @@
     final List<LoopbackProxy> keyValueProxies = new ArrayList<>();
     final List<HostProcess> hosts = new ArrayList<>();
     final List<Slot> slots = new ArrayList<>();
-    final Caller.EntryHosts entryHosts = new Caller.EntryHosts();
+    final List<EntryHost> entryHosts = new ArrayList<>();
 
     Fleet(SoakOptions options, Ledger ledger) throws IOException {
         this.options = options;
@@ -103,6 +97,7 @@
         for (int i = 1; i <= options.entryHosts(); i++) {
             addHost(new HostId("entry-" + i), true);
         }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::killHosts));
         for (HostProcess host : hosts) {
             host.start();
         }
@@ -118,33 +113,29 @@
     void startEndpoint(Slot slot, String softwareVersion) throws IOException {
         EndpointId id = new EndpointId(slot.service + "-" + endpointCount.incrementAndGet());
         slot.endpoint = new StandInEndpoint(id, softwareVersion, freeAddress(), ledger);
-        write(Vector.of(registration(slot, false)), Vector.empty());
-    }
-
-    /** Registers an endpoint as draining and returns after the acknowledgement. */
-    void drainEndpoint(Slot slot) {
-        write(Vector.of(registration(slot, true)), Vector.empty());
-        slot.endpoint.setDraining();
+        register(slot, false);
     }
 
     void removeEndpoint(Slot slot) {
         String key = PlatformDocuments.registrationKey(slot.endpoint.id());
         write(Vector.empty(), Vector.of(key));
-        slot.endpoint.setDraining();
     }
 
-    private static KeyValueService.Put registration(Slot slot, boolean draining) {
+    /** Writes the registration of an endpoint and returns after the acknowledgement. */
+    void register(Slot slot, boolean draining) {
         StandInEndpoint endpoint = slot.endpoint;
-        return PlatformDocuments.registration(
+        EndpointRecord record =
                 new EndpointRecord(
                         endpoint.id(),
                         slot.service,
                         endpoint.proxy().address(),
-                        new AvailabilityZone("zone-a"),
-                        endpoint.slots(),
+                        ZONE,
+                        StandInEndpoint.SLOTS,
                         draining,
-                        System.currentTimeMillis()),
-                endpoint.softwareVersion());
+                        0);
+        write(
+                Vector.of(PlatformDocuments.registration(record, endpoint.softwareVersion())),
+                Vector.empty());
     }
 
     /** Writes the next release; versions increase in uneven steps. */
@@ -171,19 +162,13 @@
     }
 
     private static RouteRow row(CallKind kind) {
-        boolean stream =
-                switch (kind) {
-                    case CallKind.Plain(), CallKind.Once() -> false;
-                    case CallKind.Stream(int _),
-                            CallKind.ResumableStream(int _),
-                            CallKind.Turn(int _) ->
-                            true;
-                };
-        return new RouteRow(
-                kind.route(),
-                kind.semantics(),
-                kind instanceof CallKind.Turn,
-                stream ? MODELS : LEDGER);
+        return switch (kind) {
+            case CallKind.Plain(), CallKind.Once() ->
+                    new RouteRow(kind.route(), kind.semantics(), false, LEDGER);
+            case CallKind.Stream(int _), CallKind.ResumableStream(int _) ->
+                    new RouteRow(kind.route(), kind.semantics(), false, MODELS);
+            case CallKind.Turn(int _) -> new RouteRow(kind.route(), kind.semantics(), true, MODELS);
+        };
     }
 
     private void write(Seq<KeyValueService.Put> puts, Seq<String> removals) {
@@ -200,7 +185,7 @@
             Address directory = freeAddress();
             LoopbackProxy proxy = new LoopbackProxy(callers);
             hostProxies.add(proxy);
-            entryHosts.add(id, callers, proxy.address(), directory);
+            entryHosts.add(new EntryHost(id, callers, proxy, directory));
             listeners =
                     "callers = \"%s\"\nreadiness = \"%s\"\ndirectory = \"%s\"\n"
                             .formatted(callers, freeAddress(), directory);
@@ -253,20 +238,16 @@
         }
     }
 
+    private void killHosts() {
+        hosts.forEach(HostProcess::kill);
+    }
+
     @Override
     public void close() throws IOException {
-        for (HostProcess host : hosts) {
-            host.kill();
-        }
+        killHosts();
         for (Slot slot : slots) {
             slot.endpoint.close();
         }
-        for (LoopbackProxy proxy : hostProxies) {
-            proxy.close();
-        }
-        for (LoopbackProxy proxy : keyValueProxies) {
-            proxy.close();
-        }
         keyValueServer.close();
     }
 }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
@@ -3,7 +3,6 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.daemon.HostDaemon;
@@ -22,6 +21,7 @@
     private final AtomicBoolean busy = new AtomicBoolean();
     private volatile Process process;
     private volatile boolean ending;
+    private volatile long startNanos;
 
     HostProcess(HostId id, Path settings, boolean entry, Ledger ledger) {
         this.id = id;
@@ -51,40 +51,29 @@
         busy.set(false);
     }
 
+    /** Starts the command of the deployment, without its archive of classes. */
     void start() throws IOException {
         File log = settings.resolveSibling(id + ".log").toFile();
-        Process started =
-                new ProcessBuilder(command())
-                        .redirectErrorStream(true)
-                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-                        .start();
+        ProcessBuilder command =
+                new ProcessBuilder(JAVA, "-Xmx128m", "-Xss256k", "-XX:+UseSerialGC");
+        command.command().add("-XX:TieredStopAtLevel=1");
+        command.command().add("-Dtamarackfold.lock.check=true");
+        command.command().add("-cp");
+        command.command().add(System.getProperty("java.class.path"));
+        command.command().add(HostDaemon.class.getName());
+        command.command().add(settings.toString());
+        command.redirectErrorStream(true);
+        command.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         ending = false;
-        process = started;
-        started.onExit().thenAccept(this::checkExit);
-    }
-
-    /** Returns the command of the deployment, without its archive of classes. */
-    private List<String> command() {
-        return List.of(
-                JAVA,
-                entry ? "-Xmx96m" : "-Xmx128m",
-                "-Xss256k",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-Dtamarackfold.lock.check=true",
-                "-cp",
-                System.getProperty("java.class.path"),
-                HostDaemon.class.getName(),
-                settings.toString());
+        startNanos = System.nanoTime();
+        process = command.start();
+        process.onExit().thenAccept(this::checkExit);
     }
 
     private void checkExit(Process ended) {
         if (!ending) {
-            ledger.report(
-                    Rule.ENDED,
-                    "none",
-                    "%s, process %d, ended with status %d"
-                            .formatted(id, ended.pid(), ended.exitValue()));
+            String seen = "%s, process %d, ended with status %d";
+            ledger.report(Rule.ENDED, "none", seen.formatted(id, ended.pid(), ended.exitValue()));
         }
     }
 
@@ -99,7 +88,19 @@
 
     void kill() {
         ending = true;
-        process.destroyForcibly().onExit().join();
+        if (process != null) {
+            process.destroyForcibly().onExit().join();
+        }
+    }
+
+    /**
+     * Sends SIGHUP, not in the first second after a start: the JVM installs its signal handlers
+     * some time after the start, and until then the signal ends it.
+     */
+    void hangUp() throws IOException, InterruptedException {
+        long ageMillis = (System.nanoTime() - startNanos) / 1_000_000;
+        Thread.sleep(Math.max(0, 1_000 - ageMillis));
+        signal("HUP");
     }
 
     /**
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
@@ -8,10 +8,7 @@
  *
  * @param seed decides the faults and the calls; the timing of processes still differs between runs
  * @param duration the time of the faults; the start and the check of the recovery come on top
- * @param entryHosts the number of entry hosts
  * @param storageHosts the number of storage hosts, at least 2
- * @param callers the number of callers
- * @param faults which faults are injected
  * @param folder the folder for settings, data and logs
  */
 public record SoakOptions(
@@ -27,6 +24,8 @@
     public enum FaultSelection {
         /** Planned stops, reloads, releases, and endpoints that leave and return. */
         PLANNED,
+        /** Mostly unplanned faults. */
+        UNPLANNED,
         /** Planned work and unplanned faults by turns. */
         ALL,
         /** As {@link #ALL}, with endpoints of two software versions. */
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
@@ -109,17 +109,19 @@
     /** Alternates between planned work, whose bounds are strict, and unplanned faults. */
     private void runEpisodes(Fleet fleet, FaultInjector injector)
             throws InterruptedException, ExecutionException {
-        boolean versions = options.faults() == SoakOptions.FaultSelection.VERSIONS;
+        SoakOptions.FaultSelection faults = options.faults();
+        boolean versions = faults == SoakOptions.FaultSelection.VERSIONS;
         FaultPlan plan = new FaultPlan(fleet, new Random(options.seed()), versions);
-        boolean unplanned = options.faults() != SoakOptions.FaultSelection.PLANNED;
         long endNanos = System.nanoTime() + options.duration().toNanos();
         while (System.nanoTime() - endNanos < 0) {
             Thread.sleep(FaultTimeline.CONTACT_NANOS / 1_000_000);
-            episode(plan, injector, plan::nextPlanned, min(PLANNED_EPISODE, endNanos));
-            if (unplanned) {
+            if (faults != SoakOptions.FaultSelection.UNPLANNED) {
+                episode(plan, injector, plan::nextPlanned, min(PLANNED_EPISODE, endNanos));
+            }
+            if (faults != SoakOptions.FaultSelection.PLANNED) {
                 episode(plan, injector, plan::nextUnplanned, min(UNPLANNED_EPISODE, endNanos));
+                checkRecovery();
             }
-            checkRecovery();
         }
     }
 
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
@@ -0,0 +1,52 @@
+package org.tamarackfold.daemon.soak;
+
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.collection.Vector;
+import java.nio.file.Files;
+import java.time.Duration;
+import org.tamarackfold.daemon.soak.runtime.SoakOptions;
+import org.tamarackfold.daemon.soak.runtime.SoakOptions.FaultSelection;
+import org.tamarackfold.daemon.soak.runtime.SoakSession;
+import org.testng.annotations.Test;
+
+/** Short seeded runs of the fault soak, with hosts as processes. */
+public final class SoakTest {
+    private SoakTest() {}
+
+    private static void checkSeed(long seed, Duration duration, FaultSelection faults)
+            throws Exception {
+        SoakOptions options =
+                new SoakOptions(
+                        seed,
+                        duration,
+                        2,
+                        3,
+                        16,
+                        faults,
+                        Files.createTempDirectory("tamarackfold-soak-" + seed + "-"));
+        Vector<String> violations = SoakSession.run(options, System.out);
+        assertTrue(violations.isEmpty(), violations.mkString("\n"));
+    }
+
+    /** Work that operators announce, without other faults. */
+    public static final class PlannedWork {
+        /**
+         * Guards against calls that end without an answer around a planned stop: those that arrive
+         * late in the grace period were cut at its end.
+         */
+        @Test
+        public void noCallIsLost() throws Exception {
+            checkSeed(2, Duration.ofSeconds(15), FaultSelection.PLANNED);
+        }
+    }
+
+    /** Killed and frozen processes, broken and silent connections. */
+    public static final class UnplannedFaults {
+        /** Guards against broken promises beside faults, and a service that does not return. */
+        @Test
+        public void promisesHold() throws Exception {
+            checkSeed(5, Duration.ofSeconds(8), FaultSelection.UNPLANNED);
+        }
+    }
+}
