--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** The faults of a run with their times. Thread-safe. */
+/** The faults of a run with their times on the clock of {@link System#nanoTime}. Thread-safe. */
 public final class FaultTimeline {
     /** Time for which a fault excuses what happens after its end, in nanoseconds. */
     public static final long CONTACT_NANOS = 3_000_000_000L;
@@ -12,18 +12,12 @@
     public static final class Entry {
         private final String scope;
         private final boolean planned;
-        private final long startNanos;
+        private final long startNanos = System.nanoTime();
         private volatile long endNanos = Long.MAX_VALUE;
 
-        private Entry(String scope, boolean planned, long startNanos) {
+        private Entry(String scope, boolean planned) {
             this.scope = scope;
             this.planned = planned;
-            this.startNanos = startNanos;
-        }
-
-        /** Returns the start on the clock of {@link System#nanoTime}. */
-        public long startNanos() {
-            return startNanos;
         }
 
         /** Marks the end of the fault. */
@@ -45,35 +39,31 @@
      * @param planned whether it is work that operators announce, such as SIGTERM
      */
     public Entry begin(String scope, boolean planned) {
-        Entry entry = new Entry(scope, planned, System.nanoTime());
+        Entry entry = new Entry(scope, planned);
         entries.add(entry);
         return entry;
     }
 
     /** Returns whether an unplanned fault excuses an event in this period. */
-    public boolean isDisturbed(long fromNanos, long toNanos) {
+    boolean isDisturbed(long fromNanos, long toNanos) {
         return entries.stream()
-                .anyMatch(
-                        entry ->
-                                !entry.planned
-                                        && entry.overlaps(fromNanos - CONTACT_NANOS, toNanos));
+                .filter(entry -> !entry.planned)
+                .anyMatch(entry -> entry.overlaps(fromNanos - CONTACT_NANOS, toNanos));
     }
 
     /** Returns whether any fault of this scope excuses an event at a time. */
-    public boolean isDisturbed(String scope, long atNanos) {
+    boolean isDisturbed(String scope, long atNanos) {
         return entries.stream()
-                .anyMatch(
-                        entry ->
-                                entry.scope.equals(scope)
-                                        && entry.overlaps(atNanos - CONTACT_NANOS, atNanos));
+                .filter(entry -> entry.scope.equals(scope))
+                .anyMatch(entry -> entry.overlaps(atNanos - CONTACT_NANOS, atNanos));
     }
 
     /** Returns the start of the planned stop of a scope in force at a time; -1 when none is. */
-    public long plannedStopAt(String scope, long atNanos) {
+    long plannedStopAt(String scope, long atNanos) {
         return entries.stream()
                 .filter(entry -> entry.planned && entry.scope.equals(scope))
                 .filter(entry -> entry.overlaps(atNanos, atNanos))
-                .mapToLong(Entry::startNanos)
+                .mapToLong(entry -> entry.startNanos)
                 .findFirst()
                 .orElse(-1);
     }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.tamarackfold.id.Address;
 
 /**
@@ -165,7 +166,7 @@
         /** Applies the condition; returns false when bytes of this direction are lost. */
         private boolean passes(boolean toServer) {
             switch (condition) {
-                case Condition.Delayed(long millis) -> pause(millis);
+                case Condition.Delayed(long millis) -> LockSupport.parkNanos(millis * 1_000_000);
                 case Condition.Silent(boolean holdsToServer, boolean holdsToClient) -> {
                     silentToServer |= holdsToServer;
                     silentToClient |= holdsToClient;
@@ -175,14 +176,6 @@
             return toServer ? !silentToServer : !silentToClient;
         }
 
-        private static void pause(long millis) {
-            try {
-                Thread.sleep(millis);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-
         void reset() {
             links.remove(this);
             close(client);
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -162,13 +162,9 @@
     }
 
     private static RouteRow row(CallKind kind) {
-        return switch (kind) {
-            case CallKind.Plain(), CallKind.Once() ->
-                    new RouteRow(kind.route(), kind.semantics(), false, LEDGER);
-            case CallKind.Stream(int _), CallKind.ResumableStream(int _) ->
-                    new RouteRow(kind.route(), kind.semantics(), false, MODELS);
-            case CallKind.Turn(int _) -> new RouteRow(kind.route(), kind.semantics(), true, MODELS);
-        };
+        boolean plain = kind instanceof CallKind.Plain || kind instanceof CallKind.Once;
+        boolean keepsHistory = kind instanceof CallKind.Turn;
+        return new RouteRow(kind.route(), kind.semantics(), keepsHistory, plain ? LEDGER : MODELS);
     }
 
     private void write(Seq<KeyValueService.Put> puts, Seq<String> removals) {
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
@@ -3,6 +3,8 @@
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.daemon.HostDaemon;
@@ -54,19 +56,16 @@
     /** Starts the command of the deployment, without its archive of classes. */
     void start() throws IOException {
         File log = settings.resolveSibling(id + ".log").toFile();
-        ProcessBuilder command =
-                new ProcessBuilder(JAVA, "-Xmx128m", "-Xss256k", "-XX:+UseSerialGC");
-        command.command().add("-XX:TieredStopAtLevel=1");
-        command.command().add("-Dtamarackfold.lock.check=true");
-        command.command().add("-cp");
-        command.command().add(System.getProperty("java.class.path"));
-        command.command().add(HostDaemon.class.getName());
-        command.command().add(settings.toString());
-        command.redirectErrorStream(true);
-        command.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        List<String> command = new ArrayList<>();
+        command.addAll(List.of(JAVA, "-Xmx128m", "-Xss256k", "-XX:+UseSerialGC"));
+        command.addAll(List.of("-XX:TieredStopAtLevel=1", "-Dtamarackfold.lock.check=true"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of(HostDaemon.class.getName(), settings.toString()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         ending = false;
         startNanos = System.nanoTime();
-        process = command.start();
+        process = builder.start();
         process.onExit().thenAccept(this::checkExit);
     }
 
