Handle SIGHUP before the settings are read

A SIGHUP soon after a start ended the process with status 129: the JVM's default action applies until the handler is installed, which happened after the settings had been read and the console handler had been started. The time until the JVM runs the main class remains.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/HostDaemon.java
@@ -43,13 +43,15 @@
             return;
         }
         Path file = Path.of(path);
+        // Before the settings are read: until then, SIGHUP ends the process.
+        HangupHandler.install(file, StructuredLog.of("host"));
         Either<Vector<String>, HostSettings> settings = SettingsFile.read(file);
         if (settings.isLeft()) {
             settings.getLeft().forEach(System.err::println);
             System.exit(EXIT_USAGE_ERROR);
             return;
         }
-        run(settings.get(), file);
+        run(settings.get());
     }
 
     /** Must run before the first use of logging, because that creates the log manager. */
@@ -67,7 +69,7 @@
                 .getOrElseThrow(errors -> new IllegalArgumentException(errors.mkString("; ")));
     }
 
-    private static void run(HostSettings settings, Path file) {
+    private static void run(HostSettings settings) {
         BoundedConsoleHandler console = BoundedConsoleHandler.install(System.out);
         StructuredLog log = StructuredLog.of("host");
         log.event("starting")
@@ -75,7 +77,6 @@
                 .with("role", settings.role())
                 .with("zone", settings.zone())
                 .info();
-        HangupHandler.install(file, log);
         Host host = startOrExit(settings, log, console);
         log.event("started").with("host", settings.host()).info();
         CountDownLatch stopped = new CountDownLatch(1);
