--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -101,13 +101,15 @@
         private final CallKind kind;
         private final CallId id = new CallId(name + "-" + ++callCount);
         private final String input = id + " " + "y".repeat(random.nextInt(2_000)) + ".";
-        private final long pauseMillis = random.nextInt(10) == 0 ? 900 : random.nextInt(250);
+        private final long pauseMillis;
         private final long deadlineNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
         private Vector<StreamEvent> events = Vector.empty();
         private CallId firstEventAttempt;
 
         Call(CallKind kind) {
             this.kind = kind;
+            // Answers take about as long as streams, so that faults meet calls at their endpoint.
+            pauseMillis = random.nextInt(kind.eventCount() == 0 ? 1_000 : 250);
             if (kind instanceof CallKind.Turn && program == null) {
                 renewProgram();
             }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -46,7 +46,7 @@
 
     Fault nextUnplanned() {
         long pauseMillis = 200 + random.nextInt(3_000);
-        return switch (random.nextInt(10)) {
+        return switch (random.nextInt(12)) {
             case 0 -> new Fault.Kill(List.of(host(true)), pauseMillis);
             case 1 -> new Fault.Kill(List.of(host(false)), pauseMillis);
             case 2 -> new Fault.Freeze(pick(fleet.hosts), pauseMillis);
@@ -58,7 +58,7 @@
                             "a host and the key-value service",
                             List.of(pick(fleet.keyValueProxies)),
                             pauseMillis);
-            case 7, 8 -> {
+            case 7, 8, 9, 10 -> {
                 Fleet.Slot slot = pick(fleet.slots);
                 String peers = "hosts and " + slot.endpoint.id();
                 yield disconnect(peers, List.of(slot.endpoint.proxy()), pauseMillis);
