--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -75,6 +75,8 @@
                 Thread.sleep(random.nextInt(MAXIMUM_PAUSE_MILLIS));
             }
             client.shutdownNow();
+        } catch (RuntimeException e) {
+            ledger.report(Rule.MIXED, name, "the caller ended on a malformed answer: " + e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
