--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -95,7 +95,7 @@
 
     private void renewProgram() {
         ProgramId id = new ProgramId(name + "-p" + callCount);
-        program = new Program(id, Program.MAXIMUM_TURN_TOKENS * (2L + random.nextInt(6)));
+        program = new Program(id, Program.MAXIMUM_TURN_TOKENS * (1L + random.nextInt(4)));
     }
 
     /** One call with all its attempts. */
