--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.AllowedRawValues;
 import io.vavr.collection.Vector;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -37,7 +38,8 @@
     @Option(
             name = "--faults",
             title = "selection",
-            description = "planned, all, or versions (as all, with two software versions)")
+            description = "planned, unplanned, all, or versions (all, with two software versions)")
+    @AllowedRawValues(allowedValues = {"planned", "unplanned", "all", "versions"})
     private String faults = "all";
 
     /** Creates the command; the command-line parser sets its options. */
