--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Rule.java
@@ -0,0 +1,22 @@
+package org.tamarackfold.daemon.soak;
+
+/**
+ * A promise that the soak checks: at-most-once calls run once (TWICE) and not at all after a
+ * refusal (REFUSED); answers and requests arrive unaltered (MIXED, ALTERED); streams are whole and
+ * of one run and software version (ORDER); accepted calls and turns are not lost (LOST); budgets
+ * hold (BUDGET); draining endpoints get no new call (DRAIN); proper calls get no client error
+ * (DENIED); the service returns (RECOVER); no process ends by itself (ENDED).
+ */
+public enum Rule {
+    TWICE,
+    REFUSED,
+    MIXED,
+    ALTERED,
+    ORDER,
+    LOST,
+    BUDGET,
+    DRAIN,
+    DENIED,
+    RECOVER,
+    ENDED
+}
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -0,0 +1,314 @@
+package org.tamarackfold.daemon.soak.http;
+
+import io.vavr.collection.Vector;
+import java.io.ByteArrayOutputStream;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.tamarackfold.caller.http.CallHeaderNames;
+import org.tamarackfold.daemon.soak.CallKind;
+import org.tamarackfold.daemon.soak.Ledger;
+import org.tamarackfold.daemon.soak.Outcome;
+import org.tamarackfold.daemon.soak.Program;
+import org.tamarackfold.daemon.soak.Rule;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.ProgramId;
+import org.tamarackfold.platform.standin.PlatformDocuments;
+
+/** Caller that makes one call after another and retries as the protocol allows. */
+public final class Caller implements Runnable {
+    private static final CallHeaderNames NAMES = PlatformDocuments.ADAPTER.callHeaderNames();
+
+    /** What a caller waits for one call, in milliseconds. */
+    private static final long DEADLINE_MILLIS = 8_000;
+
+    /** Time after the deadline at which a caller gives up, in milliseconds. */
+    private static final long PATIENCE_MILLIS = 1_500;
+
+    private static final int MAXIMUM_ATTEMPTS = 4;
+    private static final int MAXIMUM_PAUSE_MILLIS = 250;
+    private static final int OK = 200;
+    private static final int PAYMENT_REQUIRED = 402;
+
+    private final String name;
+    private final Ledger ledger;
+    private final Random random;
+    private final HttpClient client =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(1))
+                    .build();
+    private final EntryAddresses addresses;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private Program program;
+    private int callCount;
+
+    /** Creates a caller; the seed decides its calls. */
+    public Caller(String name, Ledger ledger, Iterable<EntryHost> hosts, long seed) {
+        this.name = name;
+        this.ledger = ledger;
+        this.random = new Random(seed);
+        this.addresses = new EntryAddresses(client, Vector.ofAll(hosts), random);
+    }
+
+    /** Makes the caller end after its present call. */
+    public void stop() {
+        stopping.set(true);
+    }
+
+    @Override
+    public void run() {
+        try (client) {
+            while (!stopping.get()) {
+                new Call(nextKind()).make();
+                Thread.sleep(random.nextInt(MAXIMUM_PAUSE_MILLIS));
+            }
+            client.shutdownNow();
+        } catch (RuntimeException e) {
+            ledger.report(Rule.MIXED, name, "the caller ended on a malformed answer: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private CallKind nextKind() {
+        int events = 2 + random.nextInt(Program.MAXIMUM_EVENTS - 1);
+        return switch (random.nextInt(6)) {
+            case 0 -> new CallKind.Plain();
+            case 1, 2 -> new CallKind.Once();
+            case 3 -> new CallKind.Stream(events);
+            case 4 -> new CallKind.ResumableStream(events * 3);
+            default -> new CallKind.Turn(events);
+        };
+    }
+
+    private void renewProgram() {
+        ProgramId id = new ProgramId(name + "-p" + callCount);
+        program = new Program(id, Program.MAXIMUM_TURN_TOKENS * (1L + random.nextInt(4)));
+    }
+
+    /** One call with all its attempts. */
+    private final class Call {
+        private final CallKind kind;
+        private final CallId id = new CallId(name + "-" + ++callCount);
+        private final String input = id + " " + "y".repeat(random.nextInt(2_000)) + ".";
+        private final long pauseMillis;
+        private final long deadlineNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
+        private Vector<StreamEvent> events = Vector.empty();
+        private CallId firstEventAttempt;
+
+        Call(CallKind kind) {
+            this.kind = kind;
+            // Answers take about as long as streams, so that faults meet calls at their endpoint.
+            pauseMillis = random.nextInt(kind.eventCount() == 0 ? 1_000 : 250);
+            if (kind instanceof CallKind.Turn && program == null) {
+                renewProgram();
+            }
+        }
+
+        void make() throws InterruptedException {
+            Outcome outcome = new Outcome.Abandoned();
+            for (int i = 1; i <= MAXIMUM_ATTEMPTS && remainingMillis() > 0; i++) {
+                outcome = attempt(new CallId(id + "-" + i));
+                if (!mayRetry(outcome)) {
+                    break;
+                }
+                Thread.sleep(retryDelayMillis(outcome));
+            }
+            if (kind instanceof CallKind.Turn && !(outcome instanceof Outcome.Served)) {
+                program = null;
+            }
+        }
+
+        private long remainingMillis() {
+            return (deadlineNanos - System.nanoTime()) / 1_000_000;
+        }
+
+        private boolean mayRetry(Outcome outcome) {
+            return switch (outcome) {
+                case Outcome.Served(), Outcome.Abandoned() -> false;
+                case Outcome.NotSent() -> true;
+                case Outcome.Broken(String _, boolean _) -> kind.mayRunAgain();
+                case Outcome.Rejected rejected ->
+                        rejected.status() != PAYMENT_REQUIRED
+                                && (rejected.promisesNotRun()
+                                        || rejected.status() >= 500 && kind.mayRunAgain());
+            };
+        }
+
+        private long retryDelayMillis(Outcome outcome) {
+            long asked =
+                    outcome instanceof Outcome.Rejected(int _, long retryAfter) ? retryAfter : 0;
+            return Math.min(Math.max(asked, 50), Math.max(remainingMillis() / 3, 0));
+        }
+
+        private Outcome attempt(CallId attempt) throws InterruptedException {
+            EntryHost host = addresses.select();
+            String body = kind instanceof CallKind.Turn ? program.expectedBody(input) : input;
+            ledger.sent(attempt, id, kind, host.id(), body, deadlineNanos);
+            Outcome outcome = exchange(attempt, request(attempt, host), host.proxy());
+            ledger.ended(attempt, outcome);
+            if (!(outcome instanceof Outcome.Served)) {
+                addresses.markFailed(host);
+            }
+            return outcome;
+        }
+
+        /** Sends a request and receives what arrives; the events before a fault count too. */
+        private Outcome exchange(CallId attempt, HttpRequest request, LoopbackProxy proxy)
+                throws InterruptedException {
+            long sentNanos = System.nanoTime();
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            CompletableFuture<HttpResponse<Void>> future =
+                    client.sendAsync(
+                            request,
+                            HttpResponse.BodyHandlers.ofByteArrayConsumer(
+                                    part -> part.ifPresent(body::writeBytes)));
+            Outcome outcome;
+            try {
+                long patienceMillis = remainingMillis() + PATIENCE_MILLIS;
+                outcome = answered(future.get(patienceMillis, TimeUnit.MILLISECONDS));
+                if (outcome instanceof Outcome.Served) {
+                    checkSignature(attempt, future.join(), body.toString(StandardCharsets.UTF_8));
+                }
+            } catch (TimeoutException e) {
+                future.cancel(true);
+                outcome = new Outcome.Abandoned();
+            } catch (ExecutionException e) {
+                outcome = failed(e.getCause(), proxy.hasRefusedSince(sentNanos));
+            }
+            receiveEvents(attempt, body.toString(StandardCharsets.UTF_8));
+            if (outcome instanceof Outcome.Served) {
+                checkEnd(attempt);
+            }
+            return outcome;
+        }
+
+        private static Outcome answered(HttpResponse<?> response) {
+            return response.statusCode() == OK
+                    ? new Outcome.Served()
+                    : new Outcome.Rejected(response.statusCode(), retryAfter(response));
+        }
+
+        private static Outcome failed(Throwable cause, boolean hostRefused) {
+            return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException
+                    ? new Outcome.NotSent()
+                    : new Outcome.Broken(String.valueOf(cause.getMessage()), hostRefused);
+        }
+
+        private HttpRequest request(CallId attempt, EntryHost host) {
+            URI uri =
+                    URI.create(
+                            "http://%s/%s/%s".formatted(host.proxy().address(), kind.route(), id));
+            HttpRequest.Builder request =
+                    HttpRequest.newBuilder(uri)
+                            .header(NAMES.callId().toString(), attempt.value())
+                            .header(NAMES.deadline().toString(), "" + remainingMillis())
+                            .header(StandInEndpoint.PAUSE.toString(), "" + pauseMillis)
+                            .POST(HttpRequest.BodyPublishers.ofString(input));
+            if (kind.eventCount() > 0) {
+                request.header(StandInEndpoint.EVENTS.toString(), "" + kind.eventCount());
+            }
+            if (!events.isEmpty()) {
+                request.header(StandInEndpoint.LAST_EVENT.toString(), "" + events.size())
+                        .header(PlatformDocuments.RESUMES.toString(), firstEventAttempt.value());
+            }
+            if (kind instanceof CallKind.Turn) {
+                addTurnHeaders(request);
+            }
+            return request.build();
+        }
+
+        private void addTurnHeaders(HttpRequest.Builder request) {
+            request.header(NAMES.program().toString(), program.id().value())
+                    .header(NAMES.session().toString(), program.id().value())
+                    .header(NAMES.tokenBudget().toString(), "" + program.budget())
+                    .header(NAMES.tokenUsage().toString(), "10," + Program.MAXIMUM_TURN_TOKENS);
+            if (program.lastTurn() != null) {
+                request.header(NAMES.parentTurn().toString(), program.lastTurn().value());
+            }
+        }
+
+        private static long retryAfter(HttpResponse<?> response) {
+            return response.headers()
+                    .firstValue("Retry-After")
+                    .map(seconds -> Math.round(Double.parseDouble(seconds) * 1_000))
+                    .orElse(0L);
+        }
+
+        private void checkSignature(CallId attempt, HttpResponse<?> response, String body) {
+            String signature =
+                    response.headers()
+                            .firstValue(PlatformDocuments.SIGNATURE.toString())
+                            .orElse("none");
+            if (!ledger.isAnswer(attempt, signature, kind.eventCount() == 0 ? body : null)) {
+                String seen = "the body of %d bytes with signature %s is not the endpoint's";
+                ledger.report(Rule.MIXED, attempt, seen.formatted(body.length(), signature));
+            }
+        }
+
+        /** Reads the complete events of a body, which may end early. */
+        private void receiveEvents(CallId attempt, String body) {
+            int end = body.lastIndexOf("\n\n");
+            for (String line : body.substring(0, Math.max(end, 0)).split("\n")) {
+                if (line.startsWith("data: ")) {
+                    receiveEvent(attempt, StreamEvent.decode(line.substring("data: ".length())));
+                }
+            }
+        }
+
+        private void checkEnd(CallId attempt) {
+            if (events.size() < kind.eventCount()) {
+                String seen = "the stream is complete after event %d of %d";
+                ledger.report(
+                        Rule.ORDER, attempt, seen.formatted(events.size(), kind.eventCount()));
+            } else if (kind instanceof CallKind.Turn) {
+                program.addTurn(attempt, input, events.map(StreamEvent::data));
+            }
+        }
+
+        private void receiveEvent(CallId attempt, StreamEvent event) {
+            if (!event.attempt().equals(attempt)) {
+                ledger.report(Rule.MIXED, attempt, "an event is of call " + event.attempt());
+            }
+            if (event.number() != events.size() + 1) {
+                String seen = "event %d follows event %d";
+                ledger.report(Rule.ORDER, attempt, seen.formatted(event.number(), events.size()));
+            }
+            events.lastOption().forEach(last -> checkRuns(attempt, last, event));
+            if (events.isEmpty()) {
+                firstEventAttempt = attempt;
+            }
+            events = events.append(event);
+            if (kind instanceof CallKind.Turn && !program.addEvent()) {
+                ledger.report(Rule.BUDGET, attempt, "budget of " + program.budget() + " tokens");
+            }
+        }
+
+        private void checkRuns(CallId attempt, StreamEvent last, StreamEvent event) {
+            boolean joined = !last.signature().equals(event.signature());
+            if (joined && !kind.mayRunAgain()) {
+                ledger.report(Rule.ORDER, attempt, "runs joined after event " + events.size());
+            }
+            if (!last.softwareVersion().equals(event.softwareVersion())) {
+                String seen = "software version %s follows %s after event %d";
+                ledger.report(
+                        Rule.ORDER,
+                        attempt,
+                        seen.formatted(
+                                event.softwareVersion(), last.softwareVersion(), events.size()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -0,0 +1,82 @@
+package org.tamarackfold.daemon.soak.runtime;
+
+import java.util.List;
+import java.util.Random;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
+
+/** Chooses faults at random from a seed. Used by one thread. */
+final class FaultPlan {
+    private static final List<Condition> CONDITIONS =
+            List.of(
+                    new Condition.Delayed(150),
+                    new Condition.Refusing(),
+                    new Condition.Silent(true, true),
+                    new Condition.Silent(true, false),
+                    new Condition.Silent(false, true));
+
+    private final Fleet fleet;
+    private final Random random;
+    private final boolean versions;
+
+    FaultPlan(Fleet fleet, Random random, boolean versions) {
+        this.fleet = fleet;
+        this.random = random;
+        this.versions = versions;
+    }
+
+    /** Returns the pause before the next fault, in milliseconds; short ones make faults overlap. */
+    long nextPauseMillis() {
+        return random.nextInt(3) == 0 ? random.nextInt(300) : 500 + random.nextInt(3_500);
+    }
+
+    Fault nextPlanned() {
+        return switch (random.nextInt(8)) {
+            case 0, 1, 2 -> new Fault.Stop(host(true));
+            case 3 -> new Fault.Stop(host(false));
+            case 4 -> new Fault.Reload(pick(fleet.hosts));
+            case 5 -> new Fault.NewRelease();
+            default ->
+                    new Fault.Replace(
+                            pick(fleet.slots),
+                            random.nextInt(4) > 0,
+                            versions && random.nextBoolean() ? "2" : "1");
+        };
+    }
+
+    Fault nextUnplanned() {
+        long pauseMillis = 200 + random.nextInt(3_000);
+        return switch (random.nextInt(12)) {
+            case 0 -> new Fault.Kill(List.of(host(true)), pauseMillis);
+            case 1 -> new Fault.Kill(List.of(host(false)), pauseMillis);
+            case 2 -> new Fault.Freeze(pick(fleet.hosts), pauseMillis);
+            case 3 -> random.nextInt(3) == 0 ? new Fault.Kill(fleet.hosts, 300) : nextPlanned();
+            case 4 -> disconnect("hosts and key-value service", fleet.keyValueProxies, pauseMillis);
+            case 5 -> disconnect("callers", List.of(pick(fleet.hostProxies)), pauseMillis);
+            case 6 ->
+                    disconnect(
+                            "a host and the key-value service",
+                            List.of(pick(fleet.keyValueProxies)),
+                            pauseMillis);
+            case 7, 8, 9, 10 -> {
+                Fleet.Slot slot = pick(fleet.slots);
+                String peers = "hosts and " + slot.endpoint.id();
+                yield disconnect(peers, List.of(slot.endpoint.proxy()), pauseMillis);
+            }
+            default -> nextPlanned();
+        };
+    }
+
+    private Fault disconnect(String peers, List<LoopbackProxy> proxies, long pauseMillis) {
+        return new Fault.Disconnect(
+                peers, proxies, pick(CONDITIONS), pauseMillis, random.nextBoolean());
+    }
+
+    private HostProcess host(boolean entry) {
+        return pick(fleet.hosts.stream().filter(host -> host.isEntry() == entry).toList());
+    }
+
+    private <T> T pick(List<T> from) {
+        return from.get(random.nextInt(from.size()));
+    }
+}
