Serve streams without token budget while storage hosts are unreachable

What callers saw: since origins of streams are recorded, a resumable stream that belongs to no program was refused after 70 in 100 of its time when no storage host answered; before, it was served.

Change: such a stream waits at most 300 ms for its origin and then begins without it. It stays at the version that it has claimed; without the record a call that resumes it is refused, so ORDER is kept. The soak registers its endpoints with the version of their records.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -24,6 +24,7 @@
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.platform.standin.KeyValueServer;
 import org.tamarackfold.platform.standin.PlatformDocuments;
@@ -132,10 +133,9 @@
                         ZONE,
                         StandInEndpoint.SLOTS,
                         draining,
-                        0);
-        write(
-                Vector.of(PlatformDocuments.registration(record, endpoint.softwareVersion())),
-                Vector.empty());
+                        0,
+                        new SoftwareVersion(endpoint.softwareVersion()));
+        write(Vector.of(PlatformDocuments.registration(record)), Vector.empty());
     }
 
     /** Writes the next release; versions increase in uneven steps. */
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -11,12 +11,19 @@
 import org.tamarackfold.peer.StreamOrigin;
 import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.TurnHistory;
+import org.tamarackfold.time.Durations;
 
 /** The token reservation and the stored history of one call, if it is a turn of a program. */
 final class TurnState {
     /** Share of the remaining time that reservation and history lookup may use, in percent. */
     private static final int PREPARATION_PERCENT = 70;
 
+    /**
+     * Time for which a stream without token budget waits until its origin is recorded; a primary
+     * replies within a few disk syncs and round trips.
+     */
+    private static final Duration ORIGIN_TIMEOUT = Duration.ofMillis(300);
+
     private final TurnHistory history;
     private final CallDescription call;
     private final Route route;
@@ -76,6 +83,10 @@
         if (!usesTokenBudget() && stream instanceof StreamStart.Untracked) {
             return CompletableFuture.completedFuture(new Preparation.Ready(Option.none()));
         }
+        if (!usesTokenBudget() && stream instanceof StreamStart.Begins) {
+            return reserve(stream, Durations.min(remainingTime, ORIGIN_TIMEOUT))
+                    .thenApply(TurnState::beginWithoutBudget);
+        }
         CompletableFuture<TurnHistory.Lookup> lookup =
                 usesTokenBudget()
                         ? lookUp(call.turn().get(), timeout(remainingTime))
@@ -84,6 +95,17 @@
         return reserve(stream, remainingTime).thenCombine(lookup, this::combineResults);
     }
 
+    /**
+     * Lets a stream without token budget begin also when its origin is not recorded: it is served
+     * then, but cannot be resumed.
+     */
+    private static Preparation beginWithoutBudget(TurnHistory.Reservation reservation) {
+        return new Preparation.Ready(
+                reservation instanceof TurnHistory.Reservation.Granted(Option<StreamOrigin> origin)
+                        ? origin
+                        : Option.none());
+    }
+
     /** Records another origin of the stream, for the same turn. */
     CompletableFuture<Preparation> recordOrigin(StreamStart stream, Duration remainingTime) {
         return reserve(stream, remainingTime)
