Let more new work wait while the limit of a host is low

What callers see: turns that are refused when a lost or restarted primary answers again, although their deadline is far and the host has time for them.

Cause: timeouts lower the limit to 4 while the host is silent. New work could wait only up to the limit, so when the first replies made the host count as overloaded, a turn beyond four waiting ones was refused at its next attempt. The limit is back at its initial value within 56 replies, sooner than the longest wait.

The test did not show it: OverloadTest$Unreachable.turnsWaitForAnotherPrimary divided all turns granted since the count, also those begun earlier in the interruption, by those begun since. It now counts the same turns in both, and turnsWaitFromTheLossOn covers the first second after the loss.

Change: new work may wait up to the limit, but not less than its initial value.

Evidence: turnsWaitForAnotherPrimary, corrected, failed with "granted share 0.82", and passes with a channel without limit, so the limit had caused it.

Checked: OverloadTest, LimitedPeerChannelTest and ActiveCallsTest, 17 passed. With a channel without limit 12 of the 14 tests of OverloadTest fail, as before.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/OverloadTest.java
@@ -49,6 +49,7 @@
         private int turns;
         private int begun;
         private int granted;
+        private int countedTurns;
 
         Fleet(long seed) {
             random = new Random(seed);
@@ -89,13 +90,15 @@
 
         private void beginTurn() {
             HistoryClient client = clients.get(random.nextInt(ENTRY_HOSTS));
+            int turn = turns;
             ProgramId program = new ProgramId("p" + turns);
             CallId call = new CallId("c" + turns++);
             begun++;
             client.reserve(program, call, 10, 100, RESERVATION_TIMEOUT)
                     .thenAccept(
                             reservation -> {
-                                if (reservation instanceof TurnHistory.Reservation.Granted) {
+                                if (reservation instanceof TurnHistory.Reservation.Granted
+                                        && turn >= countedTurns) {
                                     granted++;
                                 }
                                 if (reservation instanceof TurnHistory.Reservation.Refused) {
@@ -107,11 +110,12 @@
                             });
         }
 
-        /** Returns the share of turns granted since the last call. */
+        /** Returns the share of the turns begun since the last call that were granted. */
         double takeGrantedShare() {
             double share = (double) granted / begun;
             granted = 0;
             begun = 0;
+            countedTurns = turns;
             return share;
         }
     }
@@ -226,5 +230,19 @@
             double share = fleet.takeGrantedShare();
             assertTrue(share > 0.95, "granted share " + share);
         }
+
+        /** Guards against turns that are refused in the first second after the loss. */
+        @Test
+        public void turnsWaitFromTheLossOn() {
+            Fleet fleet = new Fleet(22);
+            fleet.run(150, Duration.ofSeconds(2));
+            fleet.host.stop();
+            fleet.takeGrantedShare();
+            fleet.run(150, Duration.ofSeconds(1));
+            fleet.host.start(0);
+            fleet.run(1, Duration.ofSeconds(6));
+            double share = fleet.takeGrantedShare();
+            assertTrue(share > 0.95, "granted share " + share);
+        }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ConcurrencyLimit.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ConcurrencyLimit.java
@@ -26,6 +26,14 @@
         return (int) limit;
     }
 
+    /**
+     * Returns the number of requests with new work that may wait. Not below the initial limit: the
+     * limit is low after an interruption, and rises faster than these requests wait.
+     */
+    int maximumWaiting() {
+        return (int) Math.max(INITIAL, limit);
+    }
+
     /** Raises the limit by one for each full window of replies, and faster after a decrease. */
     void onReply() {
         double increase = limit < INITIAL ? 0.5 : 1 / limit;
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/HostQueue.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/HostQueue.java
@@ -82,7 +82,7 @@
     private long repliedAtNanos;
 
     /**
-     * Decides on a request. New work may wait only while less of it waits than may be in flight.
+     * Decides on a request. New work may wait only while less of it waits than the limit allows.
      */
     Admission admit(QueuedRequest request, long nowNanos) {
         if (inFlight < limit.current()) {
@@ -93,7 +93,7 @@
             acceptedWork.add(request);
             return new Admission.Wait();
         }
-        if (newWork.size() >= limit.current()) {
+        if (newWork.size() >= limit.maximumWaiting()) {
             return new Admission.Reject(rejection(nowNanos));
         }
         newWork.add(request);
