--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -121,6 +121,7 @@
                         .with("attempts", attempts)
                         .with("ms", TimeUnit.NANOSECONDS.toMillis(durationNanos));
         endpoint.forEach(id -> line.with("endpoint", id));
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
         line.info();
     }
 }
