--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -130,6 +130,7 @@
                         .with("ms", TimeUnit.NANOSECONDS.toMillis(durationNanos));
         endpoint.forEach(id -> line.with("endpoint", id));
         addTimeSinceStop(line, System.nanoTime());
+        call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
         line.info();
     }
 
