Do not take an overloaded relay for an overloaded storage host

What callers would see: a call refused at once because the entry host that relays its reservation has many requests queued, while the storage host is only unreachable directly and other relays are free. Found by reading; the new StorageRequestSenderTest shows it: without the change the reply is Overloaded.

--- a/tamarackfold/src/main/java/org/tamarackfold/peer/StorageRequestSender.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/StorageRequestSender.java
@@ -58,7 +58,15 @@
                     .thenApply(reply -> recordReply(address, reply));
         }
         EntryHost relay = otherEntryHosts.get(random.nextInt(otherEntryHosts.size()));
-        return channel.send(relay.peerAddress(), new PeerRequest.Relay(address, request), timeout);
+        return channel.send(relay.peerAddress(), new PeerRequest.Relay(address, request), timeout)
+                .thenApply(StorageRequestSender::fromRelay);
+    }
+
+    /** An overloaded relay says nothing about the storage host, and another relay may be free. */
+    private static PeerReply fromRelay(PeerReply reply) {
+        return reply instanceof PeerReply.Overloaded(String reason)
+                ? new PeerReply.Unreachable("relay overloaded, " + reason)
+                : reply;
     }
 
     private boolean usesRelay(Address address) {
