Admit calls in a stop by the time of their arrival

What callers saw: a call that arrived while they could rightly use the address was refused when its body, reservation or origin took until after the address lifetime.

Cause: the schedule decided by the time of sending. Change: the first attempt is admitted by the arrival of the call, a retry by its own time; nothing is sent once the final responses are due.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/StopScheduleTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/StopScheduleTest.java
@@ -28,7 +28,7 @@
 
     private static boolean maySend(StopSchedule schedule, long nowMillis, long timeoutMillis) {
         long nowNanos = REQUESTED_AT_NANOS + millis(nowMillis);
-        return schedule.maySend(nowNanos, nowNanos + millis(timeoutMillis));
+        return schedule.maySend(nowNanos, nowNanos, nowNanos + millis(timeoutMillis));
     }
 
     /** Calls that are sent, and calls that are refused. */
@@ -40,6 +40,18 @@
             assertTrue(maySend(schedule(8_000, 3_000), 2_999, 300_000));
         }
 
+        /** Guards against calls refused because their preparation outlasts the address lifetime. */
+        @Test
+        public void callsThatArrivedInTimeAreSentLater() {
+            StopSchedule schedule = schedule(8_000, 3_000);
+            long arrivedNanos = REQUESTED_AT_NANOS + millis(2_999);
+            long deadlineNanos = arrivedNanos + millis(300_000);
+            assertTrue(schedule.maySend(arrivedNanos, arrivedNanos + millis(500), deadlineNanos));
+            assertFalse(
+                    schedule.maySend(
+                            arrivedNanos, REQUESTED_AT_NANOS + millis(7_100), deadlineNanos));
+        }
+
         /** Guards against late calls that are sent although they could outlast the host. */
         @Test
         public void lateCallsAreSentOnlyIfTheirDeadlineIsInTime() {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ActiveCallsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ActiveCallsTest.java
@@ -24,9 +24,9 @@
         public void noCallIsSentAfterAllHaveEnded() {
             ActiveCalls calls = new ActiveCalls(new HostMetrics());
             calls.startStop(0, new StopSchedule(0, Duration.ofSeconds(8), Duration.ofSeconds(3)));
-            assertTrue(calls.maySend(0, DEADLINE_NANOS), "refused too early");
+            assertTrue(calls.maySend(0, 0, DEADLINE_NANOS), "refused too early");
             calls.endAll();
-            assertFalse(calls.maySend(0, DEADLINE_NANOS), "sent after the end");
+            assertFalse(calls.maySend(0, 0, DEADLINE_NANOS), "sent after the end");
         }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/StopSchedule.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/StopSchedule.java
@@ -44,16 +44,18 @@
     }
 
     /**
-     * Returns whether a call may be sent to an endpoint now, for the first time or in a retry.
-     * While callers rightly use the address, each call may; afterwards only a call that is over by
-     * its own deadline before the final responses. A caller that is refused can go to another host
-     * at once; one whose call is ended does not know its outcome.
+     * Returns whether a call may be sent to an endpoint now. While callers rightly use the address,
+     * each call is admitted; afterwards only a call that is over by its own deadline before the
+     * final responses. A caller that is refused can go to another host at once; one whose call is
+     * ended does not know its outcome.
      *
+     * @param admittedNanos when the call arrived; for a retry, the time of the retry
      * @param deadlineNanos when the call ends at the latest
      */
-    public boolean maySend(long nowNanos, long deadlineNanos) {
-        return nowNanos - unrestrictedUntilNanos < 0
-                || (nowNanos - finalResponseNanos < 0 && deadlineNanos - finalResponseNanos <= 0);
+    public boolean maySend(long admittedNanos, long nowNanos, long deadlineNanos) {
+        return nowNanos - finalResponseNanos < 0
+                && (admittedNanos - unrestrictedUntilNanos < 0
+                        || deadlineNanos - finalResponseNanos <= 0);
     }
 
     /** Returns when all calls still in progress get a final response. */
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -53,6 +53,7 @@
     private volatile EndpointAttempt attempt;
     private long attemptStartedAtNanos;
     private ResponseRelay relay;
+    private boolean dispatched;
     private boolean finished;
 
     ActiveCall(
@@ -119,7 +120,7 @@
             respond(refusal("deadline passed before the request body was read"));
             return;
         }
-        if (!activeCalls.maySend(System.nanoTime(), deadline.nanos())) {
+        if (!maySend(System.nanoTime())) {
             refuseBecauseStopping();
             return;
         }
@@ -150,6 +151,12 @@
         }
     }
 
+    /** Returns whether a stop of the host leaves time for the call, or for a retry of it. */
+    private boolean maySend(long nowNanos) {
+        long admittedNanos = dispatched ? nowNanos : arrivedAtNanos;
+        return activeCalls.maySend(admittedNanos, nowNanos, deadline.nanos());
+    }
+
     /** Sends the call after its origin has been recorded, or that of its stream was read. */
     private void dispatchAt(Option<StreamOrigin> origin) {
         Option<String> refusal = streamVersions.afterReservation(origin);
@@ -169,7 +176,7 @@
             onDeadline();
             return;
         }
-        if (!activeCalls.maySend(nowNanos, deadline.nanos())) {
+        if (!maySend(nowNanos)) {
             refuseBecauseStopping();
             return;
         }
@@ -224,6 +231,7 @@
     private void sendTo(Selection.Selected selected, long nowNanos) {
         EndpointRecord endpoint = selected.endpoint();
         attempt = new EndpointAttempt(endpoint, call, dependencies, this);
+        dispatched = true;
         attemptStartedAtNanos = nowNanos;
         callLog.dispatched(selected, deadline.remainingTime(), nowNanos);
         attempt.start(dependencies.client(), exchange, body, deadline.remainingTime());
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCalls.java
@@ -39,10 +39,12 @@
         return stop.map(current -> Duration.ofNanos(nowNanos - current.requestedAtNanos()));
     }
 
-    /** Returns whether a call with this deadline may be sent to an endpoint now. */
-    boolean maySend(long nowNanos, long deadlineNanos) {
+    /** Returns whether a call may be sent to an endpoint now; see {@link StopSchedule#maySend}. */
+    boolean maySend(long admittedNanos, long nowNanos, long deadlineNanos) {
         return !ended
-                && stop.forAll(current -> current.schedule().maySend(nowNanos, deadlineNanos));
+                && stop.forAll(
+                        current ->
+                                current.schedule().maySend(admittedNanos, nowNanos, deadlineNanos));
     }
 
     /** Counts a request whose head has been read. */
