--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -15,7 +15,6 @@
 import org.tamarackfold.caller.RetryDelays;
 import org.tamarackfold.caller.RetryPolicy;
 import org.tamarackfold.endpoint.EndpointRecord;
-import org.tamarackfold.endpoint.Observation;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
 import org.tamarackfold.id.CallId;
@@ -46,14 +45,12 @@
     private final RetryDelays retryDelays;
     private final CallLog callLog;
     private final StreamVersions streamVersions;
+    private final CurrentAttempt attempt;
 
     private byte[] body;
     private DisconnectDetector disconnectDetector;
     private SelectionRequest selectionRequest;
-    private volatile EndpointAttempt attempt;
-    private long attemptStartedAtNanos;
     private ResponseRelay relay;
-    private boolean dispatched;
     private boolean finished;
 
     ActiveCall(
@@ -80,6 +77,7 @@
                         dependencies.metrics(), call, route.name(), release.version(), activeCalls);
         this.streamVersions =
                 new StreamVersions(dependencies.endpoints(), call, route, turnState, callLog);
+        this.attempt = new CurrentAttempt(dependencies, call, this);
         activeCalls.add(this);
     }
 
@@ -89,7 +87,7 @@
 
     /** Returns whether the call has been sent to an endpoint that may have run it. */
     boolean mayHaveRun() {
-        return attempt != null || retryPolicy.possibleRuns() > 0;
+        return attempt.isInProgress() || retryPolicy.possibleRuns() > 0;
     }
 
     /** Returns the time since the arrival of the call. */
@@ -153,7 +151,7 @@
 
     /** Returns whether a stop of the host leaves time for the call, or for a retry of it. */
     private boolean maySend(long nowNanos) {
-        long admittedNanos = dispatched ? nowNanos : arrivedAtNanos;
+        long admittedNanos = attempt.startedOnce() ? nowNanos : arrivedAtNanos;
         return activeCalls.maySend(admittedNanos, nowNanos, deadline.nanos());
     }
 
@@ -229,28 +227,14 @@
     }
 
     private void sendTo(Selection.Selected selected, long nowNanos) {
-        EndpointRecord endpoint = selected.endpoint();
-        attempt = new EndpointAttempt(endpoint, call, dependencies, this);
-        dispatched = true;
-        attemptStartedAtNanos = nowNanos;
-        callLog.dispatched(selected, deadline.remainingTime(), nowNanos);
-        attempt.start(dependencies.client(), exchange, body, deadline.remainingTime());
+        Duration remainingTime = deadline.remainingTime();
+        callLog.dispatched(selected, remainingTime, nowNanos);
+        attempt.start(selected.endpoint(), exchange, body, remainingTime, nowNanos);
     }
 
     @Override
     public void onNoResponse(AttemptOutcome outcome, String reason) {
-        reportObservation(
-                switch (outcome) {
-                    case AttemptOutcome.Rejected(AttemptOutcome.Cause _) ->
-                            new Observation.Rejected();
-                    case AttemptOutcome.Answered(int _) -> new Observation.Inconclusive();
-                    case AttemptOutcome.NotSent() -> new Observation.Failed();
-                    case AttemptOutcome.Unknown() -> new Observation.Failed();
-                });
-        EndpointRecord endpoint = endAttempt();
-        dependencies
-                .metrics()
-                .recordAttempt(endpoint.service().value(), outcome.getClass().getSimpleName());
+        EndpointRecord endpoint = attempt.endWithoutResponse(outcome);
         if (finished) {
             return;
         }
@@ -281,22 +265,14 @@
 
     @Override
     public void onResponseHead(int status, HeaderMap headers) {
-        double latencyMillis = (System.nanoTime() - attemptStartedAtNanos) / 1e6;
-        reportObservation(new Observation.Answered(latencyMillis));
-        dependencies.metrics().recordAttempt(attempt.endpoint().service().value(), "answered");
+        attempt.reportAnswered();
         boolean isStream = route.callSemantics().isStream() && status < 300;
         relay =
                 isStream
                         ? new EventStreamRelay(
-                                exchange, status, headers, turnState, this::setReadingPaused)
+                                exchange, status, headers, turnState, attempt::setReadingPaused)
                         : new BufferedResponseRelay(
-                                exchange, status, headers, this::setReadingPaused);
-    }
-
-    private void setReadingPaused(boolean paused) {
-        if (attempt != null) {
-            attempt.setReadingPaused(paused);
-        }
+                                exchange, status, headers, attempt::setReadingPaused);
     }
 
     @Override
@@ -304,21 +280,18 @@
         if (relay instanceof EventStreamRelay
                 && !relay.started()
                 && !streamVersions.mayRelay(attempt.endpoint())) {
-            attempt.cancel();
-            handleIncompleteResponse(endAttempt(), "endpoint restarted with another version");
+            handleIncompleteResponse(attempt.cancel(), "endpoint restarted with another version");
             return;
         }
         relay.onBody(bytes);
         if (relay.isMalformed()) {
-            attempt.cancel();
-            EndpointRecord endpoint = endAttempt();
-            handleIncompleteResponse(endpoint, "response is longer than any valid one");
+            handleIncompleteResponse(attempt.cancel(), "response is longer than any valid one");
         }
     }
 
     @Override
     public void onResponseEnd() {
-        EndpointRecord endpoint = endAttempt();
+        EndpointRecord endpoint = attempt.end();
         if (finished) {
             return;
         }
@@ -365,7 +338,7 @@
 
     @Override
     public void onResponseFailure(String reason) {
-        EndpointRecord endpoint = endAttempt();
+        EndpointRecord endpoint = attempt.end();
         if (!finished) {
             handleIncompleteResponse(endpoint, reason);
         }
@@ -446,21 +419,12 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
-    /** Ends the attempt, which no longer uses a slot of its endpoint; returns that endpoint. */
-    private EndpointRecord endAttempt() {
-        EndpointRecord endpoint = attempt.endpoint();
-        attempt = null;
-        dependencies.endpoints().release(endpoint.id());
-        return endpoint;
-    }
-
     /** Cancels the attempt in progress; returns its endpoint, or null if there is none. */
     private EndpointRecord cancelAttempt() {
-        if (attempt == null) {
+        if (!attempt.isInProgress()) {
             return null;
         }
-        attempt.cancel();
-        EndpointRecord endpoint = endAttempt();
+        EndpointRecord endpoint = attempt.cancel();
         if (isResponseStarted()) {
             turnState.recordDeliveredTokens(deliveredTokens(endpoint));
         }
@@ -471,12 +435,6 @@
         return relay != null && relay.started();
     }
 
-    private void reportObservation(Observation observation) {
-        dependencies
-                .endpoints()
-                .recordObservation(attempt.endpoint().id(), observation, System.nanoTime());
-    }
-
     private void respond(LocalResponse response) {
         if (finished) {
             return;
