Let other connections have their turn while an endpoint sends without pause

Cause: after 16 parts of a body, reading went on in a task that was queued on the I/O thread. XNIO runs all queued tasks before it selects ready channels, so the endless body was read again before any other connection. Reading now goes on with the next selection.

--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -258,7 +258,8 @@
             ByteBuffer buffer = pooled.getBuffer();
             for (int part = 0; !finished && !paused; part++) {
                 if (part == MAXIMUM_PARTS_IN_A_ROW) {
-                    thread.execute(this::resumeReading);
+                    // A queued task would run before the thread looks at other connections.
+                    responseChannel.resumeReads();
                     return;
                 }
                 buffer.clear();
