--- a/tamarackfold/src/main/java/org/tamarackfold/caller/StreamOriginPolicy.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/StreamOriginPolicy.java
@@ -16,7 +16,8 @@
 /**
  * Decides which software version may run a call, so that a stream is resumed only at the version
  * that began it. The origin of a stream is recorded durably before an endpoint of its version
- * receives the call. An instance belongs to one call and is not thread-safe.
+ * receives the call; a stream without token budget may begin unrecorded, and cannot be resumed
+ * then. An instance belongs to one call and is not thread-safe.
  */
 public final class StreamOriginPolicy {
     /** Bound of the origins recorded for one call; each costs a round trip to a storage host. */
@@ -120,8 +121,9 @@
     }
 
     /**
-     * Adopts the claimed origin. Storage hosts of earlier versions record none; the stream can then
-     * not be resumed, and an origin that may be recorded already must not be left.
+     * Adopts the claimed origin. It may not be recorded, by storage hosts of earlier versions or
+     * ones that did not answer in time; the stream can then not be resumed, and an origin that may
+     * be recorded already must not be left.
      */
     private Option<String> adoptClaim(Option<StreamOrigin> durable) {
         if (origin.isDefined() && claimed.isDefined() && !durable.equals(claimed)) {
