Log attempts that are given up unanswered, with the time since endpoints were heard

Cause: a call that ends at its deadline leaves no line that says whether its attempt used a kept connection or waited for a new one, nor whether other endpoints of the service answered meanwhile. The hypotheses on hosts that reach no endpoint cannot be told apart without that.

Change: attempt_unanswered has the stage of the exchange, the time waited, and the time since bytes of the endpoint and of any endpoint of its service arrived; the outcome 'unanswered' is counted in tamarackfold_attempts_total.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -77,7 +77,7 @@
                         dependencies.metrics(), call, route.name(), release.version(), activeCalls);
         this.streamVersions =
                 new StreamVersions(dependencies.endpoints(), call, route, turnState, callLog);
-        this.attempt = new CurrentAttempt(dependencies, call, this);
+        this.attempt = new CurrentAttempt(dependencies, call, this, callLog);
         activeCalls.add(this);
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -6,6 +6,7 @@
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.caller.Resumption;
+import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.StatedRateLimit;
 import org.tamarackfold.id.CallId;
@@ -15,6 +16,7 @@
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.peer.StreamOrigin;
+import org.tamarackfold.transport.ExchangeHandle;
 
 /** Records the decisions on one call and its end in the log and in the metrics. */
 final class CallLog {
@@ -97,6 +99,31 @@
                 .info();
     }
 
+    /**
+     * Records that an attempt was given up before the head of a response.
+     *
+     * @param waited the time since the start of the attempt
+     * @param endpointHeard the time since bytes of the endpoint arrived last; none if never
+     * @param serviceHeard the same for all endpoints of its service: silence of one endpoint is its
+     *     own, silence of all of them may be that of the path to them
+     */
+    void attemptUnanswered(
+            EndpointRecord endpoint,
+            ExchangeHandle.Stage stage,
+            Duration waited,
+            Option<Duration> endpointHeard,
+            Option<Duration> serviceHeard) {
+        StructuredLog.Line line =
+                LOG.event("attempt_unanswered")
+                        .with("call", call.id())
+                        .with("endpoint", endpoint.id())
+                        .with("stage", stage)
+                        .with("waited_ms", waited.toMillis());
+        endpointHeard.forEach(time -> line.with("endpoint_heard_ms", time.toMillis()));
+        serviceHeard.forEach(time -> line.with("service_heard_ms", time.toMillis()));
+        line.info();
+    }
+
     /** Records that a response ended before it was complete. */
     void responseBroken(EndpointId endpoint, String reason, boolean started) {
         LOG.event("answer_broken")
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CurrentAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CurrentAttempt.java
@@ -16,17 +16,21 @@
     private final CallDependencies dependencies;
     private final CallDescription call;
     private final EndpointAttempt.Listener listener;
+    private final CallLog callLog;
     private volatile EndpointAttempt attempt;
     private long startedAtNanos;
     private boolean startedOnce;
+    private boolean answered;
 
     CurrentAttempt(
             CallDependencies dependencies,
             CallDescription call,
-            EndpointAttempt.Listener listener) {
+            EndpointAttempt.Listener listener,
+            CallLog callLog) {
         this.dependencies = dependencies;
         this.call = call;
         this.listener = listener;
+        this.callLog = callLog;
     }
 
     /** Sends the call to an endpoint that the endpoint table has selected. */
@@ -39,6 +43,7 @@
         attempt = new EndpointAttempt(endpoint, call, dependencies, listener);
         startedAtNanos = nowNanos;
         startedOnce = true;
+        answered = false;
         attempt.start(dependencies.client(), exchange, body, remainingTime);
     }
 
@@ -65,6 +70,7 @@
 
     /** Reports that the head of a response has arrived. */
     void reportAnswered() {
+        answered = true;
         double latencyMillis = (System.nanoTime() - startedAtNanos) / 1e6;
         report(new Observation.Answered(latencyMillis));
         dependencies.metrics().recordAttempt(endpoint().service().value(), "answered");
@@ -98,8 +104,22 @@
         return endpoint;
     }
 
+    private void reportUnanswered() {
+        long nowNanos = System.nanoTime();
+        callLog.attemptUnanswered(
+                endpoint(),
+                attempt.stage(),
+                Duration.ofNanos(nowNanos - startedAtNanos),
+                dependencies.endpoints().timeSinceHeard(endpoint().id(), nowNanos),
+                dependencies.endpoints().timeSinceHeard(endpoint().service(), nowNanos));
+        dependencies.metrics().recordAttempt(endpoint().service().value(), "unanswered");
+    }
+
     /** Closes the connection to the endpoint and ends the attempt; returns its endpoint. */
     EndpointRecord cancel() {
+        if (!answered) {
+            reportUnanswered();
+        }
         attempt.cancel();
         return end();
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointAttempt.java
@@ -9,6 +9,7 @@
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.transport.ExchangeHandle;
 import org.tamarackfold.transport.HttpRequest;
 import org.tamarackfold.transport.PooledHttpClient;
@@ -50,6 +51,7 @@
     private final EndpointRecord endpoint;
     private final CallDescription call;
     private final CallHeaderNames headerNames;
+    private final EndpointTable endpoints;
     private final RateLimitReader rateLimitReader;
     private final LeavingReader leavingReader;
     private final Listener listener;
@@ -68,11 +70,10 @@
         this.endpoint = endpoint;
         this.call = call;
         this.headerNames = dependencies.headerNames();
-        this.rateLimitReader =
-                new RateLimitReader(headerNames.rateLimit(), dependencies.endpoints());
+        this.endpoints = dependencies.endpoints();
+        this.rateLimitReader = new RateLimitReader(headerNames.rateLimit(), endpoints);
         this.leavingReader =
-                new LeavingReader(
-                        headerNames.leaving(), dependencies.endpoints(), dependencies.client());
+                new LeavingReader(headerNames.leaving(), endpoints, dependencies.client());
         this.listener = listener;
     }
 
@@ -115,6 +116,11 @@
         }
     }
 
+    /** Returns how far the attempt has come before the head of its response. */
+    ExchangeHandle.Stage stage() {
+        return handle.stage();
+    }
+
     /** Stops or resumes reading the response, to apply back-pressure to the endpoint. */
     void setReadingPaused(boolean paused) {
         if (handle != null) {
@@ -124,6 +130,7 @@
 
     @Override
     public void onHead(ResponseHead head) {
+        endpoints.recordHeard(endpoint.id(), System.nanoTime());
         Option<String> mismatch = mismatch(head);
         if (mismatch.isDefined()) {
             cancel();
@@ -168,6 +175,7 @@
 
     @Override
     public void onBody(ByteBuffer bytes) {
+        endpoints.recordHeard(endpoint.id(), System.nanoTime());
         if (headAccepted) {
             listener.onResponseBody(bytes);
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -15,6 +15,7 @@
     private int consecutiveFailures;
     private long backoffEndNanos;
     private boolean backoffActive;
+    private Option<Long> heardAtNanos = Option.none();
     private Option<StatedRateLimit> rateLimit = Option.none();
 
     EndpointState(EndpointRecord record) {
@@ -100,6 +101,16 @@
         return nowNanos - latencySampledAtNanos;
     }
 
+    /** Records that bytes of the endpoint have arrived at this host. */
+    void recordHeard(long nowNanos) {
+        heardAtNanos = Option.some(nowNanos);
+    }
+
+    /** Returns when bytes of the endpoint arrived last, in ns; none if none ever did. */
+    Option<Long> heardAtNanos() {
+        return heardAtNanos;
+    }
+
     /** Returns the number of consecutive failures, including this one. */
     int recordFailure() {
         return ++consecutiveFailures;
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.endpoint;
 
+import io.vavr.collection.Stream;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -279,6 +280,32 @@
                 });
     }
 
+    /** Records that bytes of an endpoint have arrived at this host. */
+    public void recordHeard(EndpointId id, long nowNanos) {
+        lock.run(() -> Option.of(states.get(id)).forEach(state -> state.recordHeard(nowNanos)));
+    }
+
+    /** Returns the time since bytes of an endpoint arrived last; none if none ever did. */
+    public Option<Duration> timeSinceHeard(EndpointId id, long nowNanos) {
+        return lock.withLock(
+                () ->
+                        Option.of(states.get(id))
+                                .flatMap(EndpointState::heardAtNanos)
+                                .map(heardAt -> Duration.ofNanos(nowNanos - heardAt)));
+    }
+
+    /** Returns the time since bytes of any endpoint of a service arrived last; none if never. */
+    public Option<Duration> timeSinceHeard(ServiceName service, long nowNanos) {
+        return lock.withLock(
+                () ->
+                        Stream.ofAll(states.values())
+                                .filter(state -> state.record().service().equals(service))
+                                .flatMap(EndpointState::heardAtNanos)
+                                .map(heardAt -> nowNanos - heardAt)
+                                .min()
+                                .map(Duration::ofNanos));
+    }
+
     /**
      * Records the rate limit that a response of an endpoint states, none when it states none.
      * Returns the one before; for an endpoint that has been removed, the given one.
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
@@ -2,6 +2,19 @@
 
 /** Control over a running exchange. */
 public interface ExchangeHandle {
+    /** How far an exchange has come before the head of its response. */
+    enum Stage {
+        /** A connection is being opened; no byte of the request has been sent. */
+        CONNECTING,
+        /** The request is sent on a connection that was opened for it. */
+        SENT_ON_NEW_CONNECTION,
+        /** The request is sent on a connection that was kept open after an earlier exchange. */
+        SENT_ON_KEPT_CONNECTION
+    }
+
+    /** Returns the stage; to be called on the I/O thread of the exchange. */
+    Stage stage();
+
     /**
      * Cancels the exchange and closes its connection; the listener is not called afterwards. May be
      * called from any thread; outside of the I/O thread of the exchange it acts asynchronously.
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -313,6 +313,14 @@
         listener.onFailure(failure);
     }
 
+    @Override
+    public Stage stage() {
+        if (connection == null) {
+            return Stage.CONNECTING;
+        }
+        return usesIdleConnection ? Stage.SENT_ON_KEPT_CONNECTION : Stage.SENT_ON_NEW_CONNECTION;
+    }
+
     @Override
     public void cancel() {
         if (Thread.currentThread() != thread) {
