Add a failing test of hosts that lose their links to all endpoints

Two entry hosts share endpoints, each over links of its own that a test can cut: silently, with resets, or for new connections only. Callers go on calling the host that is cut off.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.function.UnaryOperator;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.caller.http.CallHeaderNames;
 import org.tamarackfold.endpoint.EndpointRecord;
@@ -27,10 +28,22 @@
     private static final String ENDPOINT_PREFIX = "endpoint/";
 
     private final KeyValueService service;
+    private final UnaryOperator<Address> path;
 
     /** Creates the adapter; all hosts of the process must use the same service. */
     public StandaloneAdapter(KeyValueService service) {
+        this(service, UnaryOperator.identity());
+    }
+
+    /**
+     * Creates the adapter of a host that reaches endpoints through proxies of its own, so that its
+     * links can fail while those of other hosts hold.
+     *
+     * @param path returns the address at which this host reaches an endpoint
+     */
+    public StandaloneAdapter(KeyValueService service, UnaryOperator<Address> path) {
         this.service = service;
+        this.path = path;
     }
 
     /** Returns the registration of an endpoint, in the format of {@link #decodeEndpoint}. */
@@ -107,7 +120,7 @@
                     new EndpointRecord(
                             endpointOf(key),
                             new ServiceName(fields[0]),
-                            Address.parse(fields[1]),
+                            path.apply(Address.parse(fields[1])),
                             new AvailabilityZone(fields[2]),
                             Integer.parseInt(fields[3]),
                             Boolean.parseBoolean(fields[4]),
--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -0,0 +1,291 @@
+package org.tamarackfold.node.runtime;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.id.ServiceName;
+import org.tamarackfold.id.SoftwareVersion;
+import org.tamarackfold.keyvalue.KeyValueService;
+import org.tamarackfold.settings.HostRole;
+import org.tamarackfold.settings.HostSettings;
+import org.tamarackfold.settings.KeyValueSettings;
+import org.tamarackfold.standin.ExecutorScheduler;
+import org.tamarackfold.standin.MemoryKeyValueService;
+import org.tamarackfold.standin.http.StandaloneAdapter;
+
+/**
+ * Entry hosts in this process that share endpoints, each over links of its own, and callers of
+ * them. The endpoints belong to the services {@code ledger} and {@code archive}.
+ */
+final class LinkedHosts implements AutoCloseable {
+    static final String LEDGER = "ledger";
+    static final String ARCHIVE = "archive";
+
+    private static final int ENDPOINTS_PER_SERVICE = 3;
+    private static final int SOCKET_TIMEOUT_MILLIS = 8_000;
+
+    private static final String RELEASE =
+            """
+            version = 1
+            [[routes]]
+            name = "submit"
+            host = "127.0.0.1"
+            prefix = "/submit/"
+            kind = "at_most_once"
+            service = "ledger"
+            timeout_ms = 3000
+            [[routes]]
+            name = "read"
+            host = "127.0.0.1"
+            prefix = "/read/"
+            kind = "idempotent"
+            service = "ledger"
+            timeout_ms = 3000
+            [[routes]]
+            name = "stream"
+            host = "127.0.0.1"
+            prefix = "/stream/"
+            kind = "stream"
+            service = "ledger"
+            timeout_ms = 5000
+            [[routes]]
+            name = "archive"
+            host = "127.0.0.1"
+            prefix = "/archive/"
+            kind = "at_most_once"
+            service = "archive"
+            timeout_ms = 3000
+            [[services]]
+            name = "ledger"
+            slots = 50
+            [[services]]
+            name = "archive"
+            slots = 50
+            """;
+
+    final MemoryKeyValueService keyValue = new MemoryKeyValueService(new ExecutorScheduler());
+    final List<TimedEndpoint> endpoints = new ArrayList<>();
+    private final Map<Address, ServiceName> serviceByEndpoint = new HashMap<>();
+    private final List<Member> members = new ArrayList<>();
+
+    /** One entry host with its links. */
+    private record Member(
+            HostSettings settings, EntryNode node, Map<Address, EndpointLink> links) {}
+
+    /** The result of a call: the status, 0 without a response, and the body. */
+    record Result(int status, String body, long millis) {
+        boolean isServed() {
+            return status == 200;
+        }
+    }
+
+    /** Starts endpoints without hosts. */
+    LinkedHosts() throws IOException {
+        StandaloneAdapter adapter = new StandaloneAdapter(keyValue);
+        Vector<KeyValueService.Put> puts =
+                Vector.of(
+                        new KeyValueService.Put(
+                                adapter.releaseKey(), RELEASE.getBytes(StandardCharsets.UTF_8), 0));
+        for (String service : List.of(LEDGER, ARCHIVE)) {
+            for (int i = 0; i < ENDPOINTS_PER_SERVICE; i++) {
+                TimedEndpoint endpoint = new TimedEndpoint();
+                endpoints.add(endpoint);
+                serviceByEndpoint.put(endpoint.address(), new ServiceName(service));
+                puts = puts.append(registration(service + "-" + i, endpoint));
+            }
+        }
+        keyValue.write(Vector.empty(), puts, Vector.empty());
+    }
+
+    private KeyValueService.Put registration(String id, TimedEndpoint endpoint) {
+        return StandaloneAdapter.registration(
+                new EndpointRecord(
+                        new EndpointId(id),
+                        serviceByEndpoint.get(endpoint.address()),
+                        endpoint.address(),
+                        new AvailabilityZone("a"),
+                        50,
+                        false,
+                        0,
+                        SoftwareVersion.UNSTATED));
+    }
+
+    /** Starts a host whose links hold; returns its index. */
+    int startHost() throws Exception {
+        int index = startHost(new HashMap<>());
+        awaitServed(index);
+        return index;
+    }
+
+    /** Starts a host whose links to all endpoints are cut already; returns its index. */
+    int startCutHost(EndpointLink.Cut cut) throws Exception {
+        Map<Address, EndpointLink> links = new HashMap<>();
+        for (TimedEndpoint endpoint : endpoints) {
+            EndpointLink link = new EndpointLink(endpoint.address());
+            link.cut(cut);
+            links.put(endpoint.address(), link);
+        }
+        return startHost(links);
+    }
+
+    private int startHost(Map<Address, EndpointLink> links) throws Exception {
+        for (TimedEndpoint endpoint : endpoints) {
+            if (!links.containsKey(endpoint.address())) {
+                links.put(endpoint.address(), new EndpointLink(endpoint.address()));
+            }
+        }
+        HostSettings settings = settings("entry-" + members.size());
+        StandaloneAdapter adapter =
+                new StandaloneAdapter(keyValue, address -> links.get(address).address());
+        members.add(new Member(settings, EntryNode.start(settings, adapter), links));
+        Thread.sleep(300);
+        return members.size() - 1;
+    }
+
+    private static HostSettings settings(String name) throws IOException {
+        return HostSettings.builder()
+                .role(HostRole.ENTRY)
+                .host(new HostId(name))
+                .zone(new AvailabilityZone("a"))
+                .adapterName("own")
+                .callerAddress(Option.some(freeAddress()))
+                .readinessAddress(Option.some(freeAddress()))
+                .directoryAddress(Option.some(freeAddress()))
+                .peerAddress(freeAddress())
+                .metricsAddress(freeAddress())
+                .keyValue(new KeyValueSettings(freeAddress(), Duration.ofSeconds(1)))
+                .directoryTimeToLive(Duration.ofMillis(100))
+                .shutdownGrace(Duration.ofSeconds(4))
+                .build();
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    private void awaitServed(int host) throws Exception {
+        for (int i = 0; i < 40; i++) {
+            if (call(host, "/read/", "ready-" + host + "-" + i, 2_000, 0).isServed()) {
+                return;
+            }
+            Thread.sleep(50);
+        }
+        throw new IllegalStateException("host " + host + " serves no call");
+    }
+
+    EntryNode node(int host) {
+        return members.get(host).node();
+    }
+
+    /** Cuts the links of a host to all endpoints. */
+    void cut(int host, EndpointLink.Cut how) throws IOException {
+        for (EndpointLink link : members.get(host).links().values()) {
+            link.cut(how);
+        }
+    }
+
+    /** Cuts the links of a host to the endpoints of one service. */
+    void cutService(int host, String service, EndpointLink.Cut how) throws IOException {
+        for (Map.Entry<Address, EndpointLink> entry : members.get(host).links().entrySet()) {
+            if (serviceByEndpoint.get(entry.getKey()).value().equals(service)) {
+                entry.getValue().cut(how);
+            }
+        }
+    }
+
+    /** Cuts the link of a host to one endpoint. */
+    void cutEndpoint(int host, int endpoint, EndpointLink.Cut how) throws IOException {
+        members.get(host).links().get(endpoints.get(endpoint).address()).cut(how);
+    }
+
+    /** Ends the cut of all links of a host. */
+    void restore(int host) throws IOException {
+        for (EndpointLink link : members.get(host).links().values()) {
+            link.restore();
+        }
+    }
+
+    /** Returns the addresses that the directory of a host names. */
+    String directory(int host) throws IOException {
+        Address address = members.get(host).settings().directoryAddress().get();
+        try (Socket socket = new Socket(address.ip(), address.port())) {
+            PlannedStopTest.Fixture.send(
+                    socket, "GET /entries?zone=a HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n");
+            return PlannedStopTest.Fixture.readResponse(socket);
+        }
+    }
+
+    Address callerAddress(int host) {
+        return members.get(host).settings().callerAddress().get();
+    }
+
+    Address peerAddress(int host) {
+        return members.get(host).settings().peerAddress();
+    }
+
+    /** Opens a connection to a host, as a caller does. */
+    Socket connect(int host) throws IOException {
+        Socket socket = new Socket(callerAddress(host).ip(), callerAddress(host).port());
+        socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Makes a call on a new connection; its endpoint works for the given time. */
+    Result call(int host, String path, String id, int timeoutMillis, int workMillis) {
+        long startNanos = System.nanoTime();
+        String response = "";
+        try (Socket socket = connect(host)) {
+            PlannedStopTest.Fixture.send(
+                    socket, LateCallTest.Fixture.request(path, id, timeoutMillis, workMillis));
+            response = PlannedStopTest.Fixture.readResponse(socket);
+        } catch (IOException e) {
+            response = "";
+        }
+        int status = response.startsWith("HTTP/1.1 ") ? statusOf(response) : 0;
+        int bodyStart = response.indexOf("\r\n\r\n");
+        return new Result(
+                status,
+                bodyStart < 0 ? "" : response.substring(bodyStart + 4),
+                (System.nanoTime() - startNanos) / 1_000_000);
+    }
+
+    private static int statusOf(String response) {
+        return Integer.parseInt(response.substring(9, 12));
+    }
+
+    /** Returns how often the endpoints have received a call. */
+    int timesReceived(String callId) {
+        return endpoints.stream().mapToInt(endpoint -> endpoint.timesReceived(callId)).sum();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Member member : members) {
+            Thread.ofVirtual().start(member.node()::stop);
+        }
+        for (Member member : members) {
+            for (EndpointLink link : member.links().values()) {
+                link.close();
+            }
+        }
+        for (TimedEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+}
