Open connections in a class of their own, and give up those that time out

HttpExchange opened its connection itself, and one that timed out stayed open in the system until its own timeout, minutes later: a host that cannot reach its endpoints collected a descriptor for each attempt.

ConnectionAttempt opens one connection within a timeout and cancels it then. PooledHttpClient.testConnection uses it to find out whether a server can be reached, without sending a request.

--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
@@ -0,0 +1,98 @@
+package org.tamarackfold.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.tamarackfold.id.Address;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioIoThread;
+
+/** Opens one connection to a server within a timeout. Everything runs on one I/O thread. */
+final class ConnectionAttempt {
+    private final IoRuntime runtime;
+    private final XnioIoThread thread;
+    private final HeadLimitingOpener opener;
+    private final Consumer<Either<String, ServerConnection>> result;
+    private XnioIoThread.Key timer;
+    private boolean finished;
+
+    /**
+     * Creates an attempt that is not started.
+     *
+     * @param result receives the connection, or on the left why there is none; not called after
+     *     {@link #cancel}
+     */
+    ConnectionAttempt(
+            IoRuntime runtime,
+            XnioIoThread thread,
+            Consumer<Either<String, ServerConnection>> result) {
+        this.runtime = runtime;
+        this.thread = thread;
+        this.opener = new HeadLimitingOpener(thread);
+        this.result = result;
+    }
+
+    void start(Address address, Duration timeout) {
+        timer =
+                thread.executeAfter(
+                        this::onTimeout, Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+        try {
+            UndertowClient.getInstance()
+                    .connect(
+                            new ConnectCallback(),
+                            URI.create("http://" + address.ip() + ":" + address.port()),
+                            opener,
+                            runtime.buffers(),
+                            OptionMap.EMPTY);
+        } catch (RuntimeException e) {
+            // Reported as a failure, so that the sender does not wait for its own timeout.
+            finish(Either.left("connect failed: " + e));
+        }
+    }
+
+    private void onTimeout() {
+        opener.cancel();
+        finish(Either.left("connect timed out"));
+    }
+
+    /** Ends the attempt; a connection that is opened nevertheless is closed. */
+    void cancel() {
+        if (!finished) {
+            finished = true;
+            timer.remove();
+            opener.cancel();
+        }
+    }
+
+    private void finish(Either<String, ServerConnection> outcome) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        timer.remove();
+        result.accept(outcome);
+    }
+
+    private final class ConnectCallback implements ClientCallback<ClientConnection> {
+        @Override
+        public void completed(ClientConnection opened) {
+            if (finished) {
+                IoUtils.safeClose(opened);
+                return;
+            }
+            finish(Either.right(new ServerConnection(opened, opener.headLimit())));
+        }
+
+        @Override
+        public void failed(IOException e) {
+            finish(Either.left("connect failed: " + e.getMessage()));
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HeadLimitingOpener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HeadLimitingOpener.java
@@ -19,6 +19,7 @@
 final class HeadLimitingOpener extends XnioIoThread {
     private final XnioIoThread thread;
     private HeadLimitConduit headLimit;
+    private IoFuture<StreamConnection> opening;
 
     HeadLimitingOpener(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -30,6 +31,13 @@
         return headLimit;
     }
 
+    /** Gives up opening the connection, which frees its descriptor before the system times out. */
+    void cancel() {
+        if (opening != null) {
+            opening.cancel();
+        }
+    }
+
     private void install(StreamConnection connection) {
         headLimit = new HeadLimitConduit(connection.getSourceChannel().getConduit());
         connection.getSourceChannel().setConduit(headLimit);
@@ -47,11 +55,17 @@
                     install(connection);
                     ChannelListeners.invokeChannelListener(connection, openListener);
                 };
-        return bindAddress == null
-                ? thread.openStreamConnection(
-                        destination, installingListener, bindListener, options)
-                : thread.openStreamConnection(
-                        bindAddress, destination, installingListener, bindListener, options);
+        opening =
+                bindAddress == null
+                        ? thread.openStreamConnection(
+                                destination, installingListener, bindListener, options)
+                        : thread.openStreamConnection(
+                                bindAddress,
+                                destination,
+                                installingListener,
+                                bindListener,
+                                options);
+        return opening;
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -1,21 +1,17 @@
 package org.tamarackfold.transport;
 
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -41,6 +37,9 @@
     private final HttpRequest request;
     private final ResponseListener listener;
 
+    /** The attempt to open a connection that is in progress; otherwise null. */
+    private ConnectionAttempt connecting;
+
     private ServerConnection connection;
     private StreamSourceChannel responseChannel;
     private XnioIoThread.Key timer;
@@ -82,50 +81,13 @@
     }
 
     private void connect() {
-        setTimer(
-                request.connectTimeout(),
-                () -> fail(new TransportFailure.NotSent("connect timed out")));
-        String ip = request.address().ip();
-        int port = request.address().port();
-        try {
-            openConnection(ip, port);
-        } catch (RuntimeException e) {
-            // Reported as a failure, so that the sender does not wait for its own timeout.
-            fail(new TransportFailure.NotSent("connect failed: " + e));
-        }
-    }
-
-    private void openConnection(String ip, int port) {
-        HeadLimitingOpener opener = new HeadLimitingOpener(thread);
-        UndertowClient.getInstance()
-                .connect(
-                        new ConnectCallback(opener),
-                        URI.create("http://" + ip + ":" + port),
-                        opener,
-                        runtime.buffers(),
-                        OptionMap.EMPTY);
+        connecting = new ConnectionAttempt(runtime, thread, this::onConnectionResult);
+        connecting.start(request.address(), request.connectTimeout());
     }
 
-    private final class ConnectCallback implements ClientCallback<ClientConnection> {
-        private final HeadLimitingOpener opener;
-
-        private ConnectCallback(HeadLimitingOpener opener) {
-            this.opener = opener;
-        }
-
-        @Override
-        public void completed(ClientConnection opened) {
-            if (finished) {
-                IoUtils.safeClose(opened);
-                return;
-            }
-            send(new ServerConnection(opened, opener.headLimit()));
-        }
-
-        @Override
-        public void failed(IOException e) {
-            fail(new TransportFailure.NotSent("connect failed: " + e.getMessage()));
-        }
+    private void onConnectionResult(Either<String, ServerConnection> result) {
+        connecting = null;
+        result.peek(this::send).peekLeft(reason -> fail(new TransportFailure.NotSent(reason)));
     }
 
     private void send(ServerConnection openConnection) {
@@ -349,6 +311,9 @@
     }
 
     private void closeConnection() {
+        if (connecting != null) {
+            connecting.cancel();
+        }
         if (connection != null) {
             connection.closeDuringExchange();
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
@@ -1,11 +1,13 @@
 package org.tamarackfold.transport;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import org.tamarackfold.id.Address;
 import org.xnio.XnioIoThread;
 
@@ -46,6 +48,25 @@
         return exchange;
     }
 
+    /**
+     * Opens a connection and closes it without sending a request, to find out whether the server
+     * can be reached. May be called from any thread.
+     *
+     * @param result receives whether the connection was opened, once, on an I/O thread
+     */
+    public void testConnection(Address address, Duration timeout, Consumer<Boolean> result) {
+        XnioIoThread thread = runtime.ioThread();
+        ConnectionAttempt attempt =
+                new ConnectionAttempt(
+                        runtime,
+                        thread,
+                        opened -> {
+                            opened.peek(ServerConnection::close);
+                            result.accept(opened.isRight());
+                        });
+        thread.execute(() -> attempt.start(address, timeout));
+    }
+
     /**
      * Closes the idle connections to a server, for use after one connection has proved dead. May be
      * called from any thread; the connections are closed asynchronously.
