Add messages with which an entry host has a call sent by another one

A forwarded call names its endpoint and carries the request and the remaining time; the replies say whether it was taken, sent, rejected or may have run. The registration of an entry host has an optional field for that; directories and shares of rate limits leave such hosts out while others reach endpoints. Hosts of earlier builds read the registration as before and reject a forwarded call as malformed, so that the sender knows that it was not sent.

Nothing sends these messages yet.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/EntryDirectoryTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/EntryDirectoryTest.java
@@ -34,6 +34,10 @@
         }
 
         void add(String zone, String host, int processorMillis) {
+            add(zone, host, processorMillis, true);
+        }
+
+        void add(String zone, String host, int processorMillis, boolean reachesEndpoints) {
             hostTable.put(
                     host,
                     new EntryHost(
@@ -41,7 +45,8 @@
                             address(host),
                             new AvailabilityZone(zone),
                             address(host),
-                            processorMillis));
+                            processorMillis,
+                            reachesEndpoints));
         }
 
         void addZone(String zone, int large, int small) {
@@ -104,4 +109,35 @@
             assertTrue(addresses.take(2).forAll(a -> a.ip().contains("b-")), "" + addresses);
         }
     }
+
+    /** Hosts that reach no endpoint themselves. */
+    public static final class HostsWithoutContact extends Fixture {
+        /** Guards against callers that are sent to a host which needs others for their calls. */
+        @Test
+        public void areNotReturnedWhileOthersReachEndpoints() {
+            add("a", "a-cut", 750, false);
+            add("b", "b-1", 750);
+            assertEquals(directory.addressesFor("a"), Vector.of(address("b-1")));
+        }
+
+        /** Guards against a zone whose active hosts are all cut off while some stand by. */
+        @Test
+        public void hostsOnStandbyReplaceThem() {
+            addZone("a", 3, 12);
+            for (int i = 0; i < 3; i++) {
+                add("a", "a-b-large-" + i, 750, false);
+            }
+            Vector<Address> addresses = directory.addressesFor("a");
+            assertTrue(addresses.size() >= 3, "addresses: " + addresses);
+            assertFalse(addresses.exists(a -> a.ip().contains("large")), "" + addresses);
+        }
+
+        /** Guards against an empty directory when the endpoints of all hosts are down. */
+        @Test
+        public void areReturnedWhenNoHostReachesEndpoints() {
+            add("a", "a-1", 750, false);
+            add("b", "b-1", 750, false);
+            assertEquals(directory.addressesFor("a").size(), 2);
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/thrift/EarlierBuildsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/thrift/EarlierBuildsTest.java
@@ -2,13 +2,21 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
+import java.time.Duration;
 import java.util.HexFormat;
+import org.tamarackfold.id.Address;
+import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.CallId;
+import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.id.SoftwareVersion;
+import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.ForwardedCall;
 import org.tamarackfold.peer.PeerReply;
 import org.tamarackfold.peer.PeerRequest;
 import org.tamarackfold.peer.StoredRecord;
@@ -98,4 +106,58 @@
             assertEquals(MessageCodec.decodeReply(MessageCodec.encode(reserved)), reserved);
         }
     }
+
+    /** Registrations of entry hosts. */
+    public static final class Registrations {
+        private static final EntryHost HOST =
+                new EntryHost(
+                        new HostId("h"),
+                        new Address("10.0.0.1", 80),
+                        new AvailabilityZone("a"),
+                        new Address("10.0.0.1", 81),
+                        750);
+
+        /** Encoded before registrations stated whether the host reaches endpoints. */
+        private static final String EARLIER =
+                "180168"
+                        + "180b31302e302e302e313a3830"
+                        + "180161"
+                        + "180b31302e302e302e313a3831"
+                        + "15dc0b00";
+
+        private final ThriftSharedStateCodec codec = new ThriftSharedStateCodec();
+
+        /** Guards against earlier hosts that are taken for cut off and receive no calls. */
+        @Test
+        public void registrationWithoutTheField() {
+            assertEquals(codec.decodeEntryHost(bytes(EARLIER)), HOST);
+        }
+
+        /** Guards against a statement that is lost on its way to the other hosts. */
+        @Test
+        public void registrationWithTheField() {
+            EntryHost cutOff = HOST.withReachesEndpoints(false);
+            assertEquals(codec.decodeEntryHost(codec.encode(cutOff)), cutOff);
+        }
+    }
+
+    /** Calls that are forwarded to a host of an earlier build. */
+    public static final class ForwardedCalls {
+        /** Guards against a forwarded call that is taken for another request. */
+        @Test(expectedExceptions = IllegalArgumentException.class)
+        public void areNoRequestsOfEarlierBuilds() {
+            ForwardedCall call =
+                    ForwardedCall.builder()
+                            .id(CALL)
+                            .endpoint(new EndpointId("e"))
+                            .method("POST")
+                            .pathAndQuery("/x")
+                            .headers(Vector.of(new ForwardedCall.Header("A", "b")))
+                            .body(new byte[] {1, 2, 3})
+                            .remainingTime(Duration.ofSeconds(1))
+                            .retryable(true)
+                            .build();
+            MessageCodec.decodeRequest(ForwardCodec.encode(call));
+        }
+    }
 }
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -24,6 +24,8 @@
   4: required string peerAddress
   // Thousandths of a processor core; absent in registrations of earlier versions.
   5: optional i32 processorMillis
+  // Whether the host reaches any endpoint; absent in registrations of earlier versions, which do not say so.
+  6: optional bool reachesEndpoints
 }
 
 struct TurnStruct {
@@ -160,3 +162,37 @@
   9: CollectedStruct collected
   10: EmptyStruct outstanding
 }
+
+struct HeaderStruct {
+  1: required string name
+  2: required string value
+}
+
+// A call that another entry host is asked to send to an endpoint.
+struct ForwardStruct {
+  1: required string call
+  2: required string endpoint
+  3: required string method
+  4: required string pathAndQuery
+  5: required list<HeaderStruct> headers
+  6: required binary body
+  7: required i64 remainingMillis
+  8: required bool retryable
+}
+
+struct ResponseHeadStruct {
+  1: required i32 status
+  2: required list<HeaderStruct> headers
+}
+
+// What became of a forwarded call. The body of the response follows a head.
+union ForwardReplyStruct {
+  1: EmptyStruct accepted
+  2: ResponseHeadStruct head
+  3: EmptyStruct full
+  4: EmptyStruct misdirected
+  5: string notSent
+  6: string unknown
+  7: string refused
+  8: EmptyStruct unreachable
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
@@ -22,7 +22,7 @@
 
     private final KeyValueService service;
     private final String key;
-    private final byte[] value;
+    private volatile byte[] value;
     private final Duration leaseDuration;
     private final Scheduler scheduler;
     private volatile long lease;
@@ -63,6 +63,12 @@
         }
     }
 
+    /** Replaces the value, also in the service if the key is registered. */
+    public void replaceValue(byte[] next) {
+        value = next;
+        rewriteKey();
+    }
+
     /** Writes the key again; called when a listing or watch shows that it is missing. */
     public void rewriteKey() {
         if (!stopped && lease != 0) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/ActiveEntryHosts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/ActiveEntryHosts.java
@@ -16,6 +16,15 @@
 
     private ActiveEntryHosts() {}
 
+    /**
+     * Returns the hosts that reach endpoints themselves; all hosts when none does, because the
+     * endpoints are down then and no host is better than another.
+     */
+    static Vector<EntryHost> withContact(Vector<EntryHost> hosts) {
+        Vector<EntryHost> reaching = hosts.filter(EntryHost::reachesEndpoints);
+        return reaching.isEmpty() ? hosts : reaching;
+    }
+
     /** Returns whether a zone has more hosts than the fewest that must be active. */
     static boolean hasStandbys(Vector<EntryHost> zoneHosts) {
         return zoneHosts.size() > MINIMUM_ACTIVE_HOSTS;
--- a/tamarackfold/src/main/java/org/tamarackfold/node/EntryDirectory.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/EntryDirectory.java
@@ -9,7 +9,8 @@
  * Selects the entry hosts whose addresses the directory returns to callers. In a zone with many
  * entry hosts, only the largest ones are returned, as many as hold a third of its capacity; the
  * others stand by. A few hosts that each see much of the load know their endpoints better, keep
- * connections to them in use, and leave the zone less often than callers that pick any host.
+ * connections to them in use, and leave the zone less often than callers that pick any host. Hosts
+ * that reach no endpoint themselves are not returned while others do.
  */
 public final class EntryDirectory {
     /** Maximum number of addresses in a directory response; callers use no more. */
@@ -30,7 +31,7 @@
      * @param zone the name of the caller's zone; an unknown or empty name prefers no host
      */
     public Vector<Address> addressesFor(String zone) {
-        Vector<EntryHost> hosts = hostTable.entryHosts();
+        Vector<EntryHost> hosts = ActiveEntryHosts.withContact(hostTable.entryHosts());
         Vector<EntryHost> sameZone = hosts.filter(host -> host.zone().value().equals(zone));
         Vector<EntryHost> returned =
                 ActiveEntryHosts.hasStandbys(sameZone)
--- a/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
@@ -54,7 +54,8 @@
     private Map<HostId, Double> weights(Vector<EntryHost> hosts) {
         Map<HostId, Double> weights =
                 HashMap.ofEntries(hosts.map(host -> Tuple.of(host.host(), STANDBY_WEIGHT)));
-        for (Vector<EntryHost> zoneHosts : hosts.groupBy(EntryHost::zone).values()) {
+        for (Vector<EntryHost> zoneHosts :
+                ActiveEntryHosts.withContact(hosts).groupBy(EntryHost::zone).values()) {
             for (EntryHost active : ActiveEntryHosts.ofZone(zoneHosts)) {
                 weights = weights.put(active.host(), ACTIVE_WEIGHT);
             }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ThriftSharedStateCodec.java
@@ -83,7 +83,8 @@
                                 entryHost.address().toString(),
                                 entryHost.zone().value(),
                                 entryHost.peerAddress().toString())
-                        .setProcessorMillis(entryHost.processorMillis()));
+                        .setProcessorMillis(entryHost.processorMillis())
+                        .setReachesEndpoints(entryHost.reachesEndpoints()));
     }
 
     @Override
@@ -96,6 +97,7 @@
                 Address.parse(struct.getPeerAddress()),
                 struct.isSetProcessorMillis()
                         ? struct.getProcessorMillis()
-                        : DEFAULT_PROCESSOR_MILLIS);
+                        : DEFAULT_PROCESSOR_MILLIS,
+                !struct.isSetReachesEndpoints() || struct.isReachesEndpoints());
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -8,7 +8,9 @@
     RELEASE,
     HOSTS,
     LAYOUT,
+    REACHABILITY,
     ENDPOINTS,
     SHARDS,
-    PEER_QUEUES
+    PEER_QUEUES,
+    FORWARDING
 }
