--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/RetryPolicyTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/RetryPolicyTest.java
@@ -1,6 +1,8 @@
 package org.tamarackfold.caller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
@@ -58,6 +60,24 @@
             assertEquals(policy(CallSemantics.AT_MOST_ONCE, 1).after(FULL), RETRY);
         }
 
+        /** Guards against a call that is asked of host after host without end. */
+        @Test
+        public void isRetriedThreeTimesWhenOtherHostsDoNotTakeIt() {
+            RetryPolicy policy = policy(CallSemantics.AT_MOST_ONCE, 1);
+            for (int i = 0; i < 3; i++) {
+                assertEquals(policy.after(new AttemptOutcome.NotForwarded()), RETRY);
+            }
+            assertEquals(policy.after(new AttemptOutcome.NotForwarded()), REFUSE);
+        }
+
+        /** Guards against giving up a call whose response may still come, without a retry. */
+        @Test
+        public void isNotRetriedWhileItsResponseMayCome() {
+            assertFalse(policy(CallSemantics.AT_MOST_ONCE, 3).mayRetryUnanswered());
+            assertFalse(policy(CallSemantics.IDEMPOTENT, 1).mayRetryUnanswered());
+            assertTrue(policy(CallSemantics.IDEMPOTENT, 2).mayRetryUnanswered());
+        }
+
         /** Guards against telling the caller that a call has not run although it may have run. */
         @Test
         public void isRefusedOnlyIfNoEndpointMayHaveRunIt() {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -21,11 +21,14 @@
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.EndpointTables;
+import org.tamarackfold.endpoint.ReachabilityMonitor;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
+import org.tamarackfold.endpoint.http.PooledEndpointConnections;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.HostId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.id.ReleaseVersion;
 import org.tamarackfold.id.RouteName;
@@ -39,9 +42,12 @@
 import org.tamarackfold.operator.Route;
 import org.tamarackfold.operator.ServiceDefinition;
 import org.tamarackfold.operator.WeightedService;
+import org.tamarackfold.peer.ForwardingHosts;
+import org.tamarackfold.peer.HostTable;
 import org.tamarackfold.peer.StreamOrigin;
 import org.tamarackfold.peer.StreamStart;
 import org.tamarackfold.peer.TurnHistory;
+import org.tamarackfold.standin.ExecutorScheduler;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
@@ -110,12 +116,14 @@
             this.endpoints.add(endpoints.get(i));
             register(i, SoftwareVersion.UNSTATED);
         }
+        PooledHttpClient client = new PooledHttpClient(runtime, Duration.ofSeconds(4).toNanos());
         CallDependencies dependencies =
                 new CallDependencies(
                         CallHeaderNames.DEFAULT,
                         releases,
                         endpointTable,
-                        new PooledHttpClient(runtime, Duration.ofSeconds(4).toNanos()),
+                        paths(client),
+                        client,
                         history,
                         new HostMetrics(),
                         new Random(1));
@@ -129,6 +137,24 @@
         server.start();
     }
 
+    /** Returns the paths of a host without other hosts that could forward its calls. */
+    private EndpointPaths paths(PooledHttpClient client) {
+        ExecutorScheduler scheduler = new ExecutorScheduler();
+        return new EndpointPaths(
+                new ReachabilityMonitor(
+                        endpointTable,
+                        new PooledEndpointConnections(client),
+                        scheduler,
+                        new Random(3),
+                        reachesEndpoints -> {}),
+                new ForwardingHosts(
+                        new HostId("entry-1"),
+                        new AvailabilityZone("a"),
+                        new HostTable(),
+                        scheduler,
+                        new Random(4)));
+    }
+
     /** Registers an endpoint, or replaces its registration by one of another version. */
     void register(int index, SoftwareVersion version) {
         endpointTable.put(
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -87,7 +88,7 @@
             HostSettings settings, EntryNode node, Map<Address, EndpointLink> links) {}
 
     /** The result of a call: the status, 0 without a response, and the body. */
-    record Result(int status, String body, long millis) {
+    record Result(String callId, int status, String body, long millis) {
         boolean isServed() {
             return status == 200;
         }
@@ -260,6 +261,7 @@
         int status = response.startsWith("HTTP/1.1 ") ? statusOf(response) : 0;
         int bodyStart = response.indexOf("\r\n\r\n");
         return new Result(
+                id,
                 status,
                 bodyStart < 0 ? "" : response.substring(bodyStart + 4),
                 (System.nanoTime() - startNanos) / 1_000_000);
@@ -269,6 +271,32 @@
         return Integer.parseInt(response.substring(9, 12));
     }
 
+    /** Reads a response in chunks up to its end. */
+    static String readUntilLastChunk(InputStream in) throws IOException {
+        StringBuilder body = new StringBuilder();
+        while (!body.toString().endsWith("0\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the response ended after: " + body);
+            }
+            body.append((char) next);
+        }
+        return body.toString();
+    }
+
+    /** Returns the time that the endpoint of a call was given. */
+    int remainingMillis(String callId) {
+        return endpoints.stream()
+                .mapToInt(endpoint -> endpoint.remainingMillis(callId))
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns whether the connection of a call to its endpoint was closed before the end. */
+    boolean wasAbandoned(String callId) {
+        return endpoints.stream().anyMatch(endpoint -> endpoint.wasAbandoned(callId));
+    }
+
     /** Returns how often the endpoints have received a call. */
     int timesReceived(String callId) {
         return endpoints.stream().mapToInt(endpoint -> endpoint.timesReceived(callId)).sum();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/TimedEndpoint.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/TimedEndpoint.java
@@ -22,6 +22,7 @@
 
     private final ServerSocket server;
     private final Map<String, Integer> received = new ConcurrentHashMap<>();
+    private final Map<String, Integer> remainingMillis = new ConcurrentHashMap<>();
     private final Set<String> abandoned = ConcurrentHashMap.newKeySet();
 
     TimedEndpoint() throws IOException {
@@ -38,6 +39,11 @@
         return received.getOrDefault(callId, 0);
     }
 
+    /** Returns the time that the call was given, in milliseconds; 0 when it was not received. */
+    int remainingMillis(String callId) {
+        return remainingMillis.getOrDefault(callId, 0);
+    }
+
     /** Returns whether the connection was closed while the endpoint worked on the call. */
     boolean wasAbandoned(String callId) {
         return abandoned.contains(callId);
@@ -74,6 +80,7 @@
     private void answer(Socket socket, String head, int workMillis) throws IOException {
         String callId = header(head, "call-id");
         received.merge(callId, 1, Integer::sum);
+        remainingMillis.put(callId, Integer.parseInt(header(head, "call-deadline-ms")));
         boolean stream = head.contains(" /stream/");
         String start = "HTTP/1.1 200 OK\r\nAnswer-Signature: sig\r\nCall-Id: " + callId + "\r\n";
         OutputStream out = socket.getOutputStream();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
@@ -1,7 +1,10 @@
 package org.tamarackfold.node.runtime;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
@@ -114,4 +117,190 @@
             assertTrue(result.isServed(), result.toString());
         }
     }
+
+    /** Only some links of a host are cut. */
+    public static final class SomeLinks extends Fixture {
+        /** Guards against a host that loses one service and fails its calls. */
+        @Test
+        public void callsOfTheLostServiceAreServed() throws Exception {
+            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, EndpointLink.Cut.SILENT);
+            assertServedOnceDetected("/submit/");
+        }
+
+        /** Guards against the loss of one service that disturbs the calls of another. */
+        @Test
+        public void callsOfTheOtherServiceAreServedThroughout() throws Exception {
+            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, EndpointLink.Cut.SILENT);
+            hosts.call(CUT_HOST, "/read/", "first", 1_500, 0);
+            for (LinkedHosts.Result result : callSteadily("/archive/", "other", 20)) {
+                assertTrue(result.isServed(), result.toString());
+            }
+        }
+
+        /** Guards against calls that fail again and again at the endpoints out of reach. */
+        @Test
+        public void callsAreServedWhileTwoOfThreeEndpointsAreOutOfReach() throws Exception {
+            hosts.cutEndpoint(CUT_HOST, 0, EndpointLink.Cut.SILENT);
+            hosts.cutEndpoint(CUT_HOST, 1, EndpointLink.Cut.RESET);
+            assertServedOnceDetected("/submit/");
+        }
+    }
+
+    /** The end of a cut, and cuts that follow each other. */
+    public static final class EndOfCut extends Fixture {
+        /** Guards against a host that goes on to depend on others when its links are back. */
+        @Test
+        public void callsAreSentDirectlyAgain() throws Exception {
+            hosts.cut(CUT_HOST, EndpointLink.Cut.SILENT);
+            callSteadily("/submit/", "cut", 30);
+            hosts.restore(CUT_HOST);
+            Thread.sleep(1_500);
+            hosts.node(1).stop();
+            for (LinkedHosts.Result result : callSteadily("/submit/", "after", 10)) {
+                assertTrue(result.isServed(), result.toString());
+            }
+        }
+
+        /** Guards against a host that the directory leaves out for good, or never. */
+        @Test
+        public void directoryNamesTheHostAgain() throws Exception {
+            String address = hosts.callerAddress(CUT_HOST).toString();
+            hosts.cut(CUT_HOST, EndpointLink.Cut.RESET);
+            callSteadily("/read/", "cut", 20);
+            Thread.sleep(500);
+            assertFalse(hosts.directory(1).contains(address), hosts.directory(1));
+            hosts.restore(CUT_HOST);
+            Thread.sleep(2_500);
+            assertTrue(hosts.directory(1).contains(address), hosts.directory(1));
+        }
+
+        /** Guards against calls that run twice, or run after a refusal, around changes of path. */
+        @Test
+        public void callsRunAtMostOnceInCutsThatFollowEachOther() throws Exception {
+            List<LinkedHosts.Result> results = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                hosts.cut(CUT_HOST, EndpointLink.Cut.values()[i % 3]);
+                results.addAll(callSteadily("/submit/", "cut" + i, 15));
+                hosts.restore(CUT_HOST);
+                results.addAll(callSteadily("/submit/", "clear" + i, 10));
+            }
+            Thread.sleep(500);
+            for (LinkedHosts.Result result : results) {
+                int runs = hosts.timesReceived(result.callId());
+                assertTrue(runs <= 1, result + " was received " + runs + " times");
+                assertTrue(result.status() != 503 || runs == 0, "refused, but has run: " + result);
+            }
+        }
+    }
+
+    /** What holds for a call also when another host sends it. */
+    public static final class Promises extends Fixture {
+        /** Cuts a host off and waits until it knows. */
+        @BeforeMethod(dependsOnMethods = "start")
+        public void cut() throws Exception {
+            hosts.cut(CUT_HOST, EndpointLink.Cut.RESET);
+            callSteadily("/read/", "detect", 12);
+        }
+
+        /** Guards against an endpoint that is given more time than the caller waits. */
+        @Test
+        public void endpointReceivesTheRemainingTime() throws Exception {
+            assertTrue(hosts.call(CUT_HOST, "/submit/", "c1", 900, 0).isServed());
+            int remainingMillis = hosts.remainingMillis("c1");
+            assertTrue(remainingMillis > 300 && remainingMillis <= 900, "" + remainingMillis);
+        }
+
+        /** Guards against a call that is held beyond its deadline. */
+        @Test
+        public void callEndsAtItsDeadline() throws Exception {
+            LinkedHosts.Result result = hosts.call(CUT_HOST, "/submit/", "c1", 400, 2_000);
+            assertEquals(result.status(), 504);
+            assertTrue(result.millis() < 900, result.toString());
+        }
+
+        /** Guards against an endpoint that works on after its caller has left. */
+        @Test
+        public void callIsCancelledWhenItsCallerLeaves() throws Exception {
+            try (Socket socket = hosts.connect(CUT_HOST)) {
+                PlannedStopTest.Fixture.send(
+                        socket, LateCallTest.Fixture.request("/submit/", "c1", 3_000, 2_500));
+                awaitReceived("c1");
+            }
+            for (int i = 0; i < 50 && !hosts.wasAbandoned("c1"); i++) {
+                Thread.sleep(20);
+            }
+            assertTrue(hosts.wasAbandoned("c1"));
+        }
+
+        private void awaitReceived(String callId) throws InterruptedException {
+            for (int i = 0; i < 100 && hosts.timesReceived(callId) == 0; i++) {
+                Thread.sleep(20);
+            }
+        }
+
+        /** Guards against events that are lost, repeated or held back between the hosts. */
+        @Test
+        public void streamIsWhole() throws Exception {
+            try (Socket socket = hosts.connect(CUT_HOST)) {
+                PlannedStopTest.Fixture.send(
+                        socket, LateCallTest.Fixture.request("/stream/", "c1", 4_000, 400));
+                String head = PlannedStopTest.Fixture.readHead(socket.getInputStream());
+                assertTrue(head.startsWith("HTTP/1.1 200"), head);
+                String body = LinkedHosts.readUntilLastChunk(socket.getInputStream());
+                int events = 400 / TimedEndpoint.EVENT_INTERVAL_MILLIS;
+                assertEquals(body.split("data: x", -1).length - 1, events, body);
+            }
+        }
+    }
+
+    /** Failures of the host that forwards calls. */
+    public static final class ForwardingHostLost extends Fixture {
+        private static final int OTHER_HOST = 2;
+
+        /** Adds a second host that can forward calls, and cuts the first one off. */
+        @BeforeMethod(dependsOnMethods = "start")
+        public void cut() throws Exception {
+            hosts.startHost();
+            hosts.cut(CUT_HOST, EndpointLink.Cut.SILENT);
+            callSteadily("/read/", "detect", 30);
+        }
+
+        /** Guards against calls that fail because the host that forwarded them was stopped. */
+        @Test
+        public void callsAreServedWhileAForwardingHostStops() throws Exception {
+            Thread stopping = Thread.ofVirtual().start(hosts.node(1)::stop);
+            for (LinkedHosts.Result result : callSteadily("/submit/", "stop", 60)) {
+                assertTrue(result.isServed(), result.toString());
+            }
+            stopping.join();
+        }
+
+        /** Guards against calls that fail because the host that forwarded them is cut off, too. */
+        @Test
+        public void callsAreServedWhenAForwardingHostIsCutOff() throws Exception {
+            hosts.cut(1, EndpointLink.Cut.SILENT);
+            assertServedOnceDetected("/submit/");
+        }
+
+        /** Guards against calls that go round, or are held, when no host reaches an endpoint. */
+        @Test
+        public void callsAreRefusedAtOnceWhenAllHostsAreCutOff() throws Exception {
+            hosts.cut(1, EndpointLink.Cut.SILENT);
+            hosts.cut(OTHER_HOST, EndpointLink.Cut.SILENT);
+            callSteadily("/submit/", "detect-all", 60);
+            callAt(1, "detect-1");
+            callAt(OTHER_HOST, "detect-2");
+            Thread.sleep(1_000);
+            LinkedHosts.Result result = hosts.call(CUT_HOST, "/submit/", "last", 2_000, 20);
+            assertEquals(result.status(), 503);
+            assertTrue(result.millis() < 200, result.toString());
+            assertEquals(hosts.timesReceived("last"), 0);
+        }
+
+        private void callAt(int host, String name) {
+            for (int i = 0; i < 3; i++) {
+                hosts.call(host, "/read/", name + "-" + i, 1_000, 0);
+            }
+        }
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/AttemptOutcome.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/AttemptOutcome.java
@@ -3,7 +3,7 @@
 /**
  * The outcome of sending a call to one endpoint. All outcomes but Answered occur only before the
  * response to the caller has started, so that the call can still be retried. The names of Rejected,
- * NotSent and Unknown are metric labels and appear in the log.
+ * NotSent, NotForwarded and Unknown are metric labels and appear in the log.
  */
 public sealed interface AttemptOutcome {
     /**
@@ -23,6 +23,12 @@
     /** No byte of the call was sent to the endpoint. */
     record NotSent() implements AttemptOutcome {}
 
+    /**
+     * The host that was to forward the call has not taken it. Says nothing about the endpoint, to
+     * which no byte was sent.
+     */
+    record NotForwarded() implements AttemptOutcome {}
+
     /** The call was sent and may have run, but no complete response has arrived. */
     record Unknown() implements AttemptOutcome {}
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/RetryPolicy.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/RetryPolicy.java
@@ -11,11 +11,15 @@
     /** Maximum number of retries after rejected or unsent attempts; each costs a round trip. */
     private static final int MAXIMUM_REJECTIONS = 4;
 
+    /** Maximum number of retries after other hosts did not take the call. */
+    private static final int MAXIMUM_FORWARDING_FAILURES = 3;
+
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
     private final Route route;
     private int possibleRuns;
     private int rejections;
+    private int notForwarded;
 
     /**
      * Creates the policy of one call.
@@ -37,6 +41,7 @@
             case AttemptOutcome.Answered(int status) -> afterResponse(status);
             case AttemptOutcome.Rejected(AttemptOutcome.Cause _) -> afterRejection();
             case AttemptOutcome.NotSent() -> afterRejection();
+            case AttemptOutcome.NotForwarded() -> afterNotForwarded();
             case AttemptOutcome.Unknown() -> afterUnknown();
         };
     }
@@ -58,9 +63,22 @@
         return whenNoFurtherAttempt();
     }
 
+    private RetryDecision afterNotForwarded() {
+        notForwarded++;
+        return notForwarded <= MAXIMUM_FORWARDING_FAILURES
+                ? new RetryDecision.Retry()
+                : whenNoFurtherAttempt();
+    }
+
+    /** Returns whether the call could be retried if its attempt in progress ended unanswered. */
+    public boolean mayRetryUnanswered() {
+        return route.callSemantics().isRetryable() && possibleRuns + 1 < route.maximumAttempts();
+    }
+
     private RetryDecision afterUnknown() {
+        boolean mayRetry = mayRetryUnanswered();
         possibleRuns++;
-        if (route.callSemantics().isRetryable() && possibleRuns < route.maximumAttempts()) {
+        if (mayRetry) {
             return new RetryDecision.Retry();
         }
         return new RetryDecision.ReportUnknown();
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -77,7 +77,7 @@
                         dependencies.metrics(), call, route.name(), release.version(), activeCalls);
         this.streamVersions =
                 new StreamVersions(dependencies.endpoints(), call, route, turnState, callLog);
-        this.attempt = new CurrentAttempt(dependencies, call, this, callLog);
+        this.attempt = new CurrentAttempt(dependencies, call, this, callLog, this::onPathLost);
         activeCalls.add(this);
     }
 
@@ -188,7 +188,7 @@
             case Selection.NoneEligible() ->
                     apply(retryPolicy.whenNoFurtherAttempt(), "no endpoint left");
             case Selection.RateLimited(Duration expectedWait) -> endRateLimited(expectedWait);
-            case Selection.Selected selected -> sendTo(selected, nowNanos);
+            case Selection.Selected selected -> sendTo(selected);
         }
     }
 
@@ -226,10 +226,32 @@
         }
     }
 
-    private void sendTo(Selection.Selected selected, long nowNanos) {
-        Duration remainingTime = deadline.remainingTime();
-        callLog.dispatched(selected, remainingTime, nowNanos);
-        attempt.start(selected.endpoint(), exchange, body, remainingTime, nowNanos);
+    private void sendTo(Selection.Selected selected) {
+        EndpointRequest request =
+                EndpointRequest.of(
+                        exchange,
+                        call,
+                        dependencies.headerNames(),
+                        body,
+                        route.callSemantics().isRetryable());
+        boolean started =
+                attempt.start(selected, request, deadline.remainingTime(), exchange.getIoThread());
+        if (!started) {
+            selectionRequest = selectionRequest.excluding(selected.endpoint().id());
+            apply(retryPolicy.after(new AttemptOutcome.NotSent()), "no host reaches the endpoint");
+        }
+    }
+
+    /**
+     * Retries a call elsewhere whose response cannot arrive while the path to its endpoint does not
+     * work. One that must not run twice waits: its response may come when the path works again.
+     */
+    private void onPathLost() {
+        if (finished || !retryPolicy.mayRetryUnanswered()) {
+            return;
+        }
+        attempt.cancel();
+        apply(retryPolicy.after(new AttemptOutcome.Unknown()), "path to the endpoint lost");
     }
 
     @Override
@@ -238,7 +260,9 @@
         if (finished) {
             return;
         }
-        selectionRequest = selectionRequest.excluding(endpoint.id());
+        if (!(outcome instanceof AttemptOutcome.NotForwarded)) {
+            selectionRequest = selectionRequest.excluding(endpoint.id());
+        }
         callLog.attemptFailed(endpoint.id(), outcome, reason);
         apply(retryPolicy.after(outcome), reason);
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
@@ -13,6 +13,7 @@
  * @param headerNames the names of the headers that carry call metadata
  * @param releases holds the current release
  * @param endpoints the registered endpoints, from which one is selected for each call
+ * @param paths the ways from this host to endpoints
  * @param client the HTTP client for requests to endpoints
  * @param history the token budgets and turn histories of programs
  * @param metrics the metrics of this process
@@ -22,6 +23,7 @@
         CallHeaderNames headerNames,
         ReleaseHolder releases,
         EndpointTable endpoints,
+        EndpointPaths paths,
         PooledHttpClient client,
         TurnHistory history,
         HostMetrics metrics,
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -42,7 +42,11 @@
     }
 
     /** Records that the call is sent to the selected endpoint. */
-    void dispatched(Selection.Selected selected, Duration remainingTime, long nowNanos) {
+    void dispatched(
+            Selection.Selected selected,
+            EndpointAttempt attempt,
+            Duration remainingTime,
+            long nowNanos) {
         StructuredLog.Line line =
                 LOG.event("dispatch")
                         .with("call", call.id())
@@ -52,6 +56,9 @@
                         .with("version", selected.endpoint().version())
                         .with("in_flight", selected.inFlight())
                         .with("left_ms", remainingTime.toMillis());
+        if (attempt instanceof ForwardedAttempt forwarded) {
+            line.with("via", forwarded.host().host());
+        }
         addTimeSinceStop(line, nowNanos);
         call.turn().forEach(turn -> line.with("program", turn.program()));
         call.resumption().forEach(resumption -> line.with("resumes", nameOf(resumption)));
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CurrentAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CurrentAttempt.java
@@ -1,11 +1,18 @@
 package org.tamarackfold.caller.http;
 
-import io.undertow.server.HttpServerExchange;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.control.Option;
 import java.time.Duration;
 import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.caller.CallDescription;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.Observation;
+import org.tamarackfold.endpoint.Selection;
+import org.tamarackfold.id.HostId;
+import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.ForwardingHosts;
+import org.xnio.XnioIoThread;
 
 /**
  * The attempt of a call that is in progress, if any. Reports to the endpoint table what the attempt
@@ -18,6 +25,15 @@
     private final EndpointAttempt.Listener listener;
     private final CallLog callLog;
     private volatile EndpointAttempt attempt;
+    private final Runnable onPathLost;
+
+    /** Hosts that have not taken the call; they are not asked again. */
+    private Set<HostId> hostsTried = HashSet.empty();
+
+    /** Whether a connection for the call could not be opened; others would likely fail, too. */
+    private boolean directPathDoubtful;
+
+    private SilenceWatch silenceWatch;
     private long startedAtNanos;
     private boolean startedOnce;
     private boolean answered;
@@ -26,25 +42,53 @@
             CallDependencies dependencies,
             CallDescription call,
             EndpointAttempt.Listener listener,
-            CallLog callLog) {
+            CallLog callLog,
+            Runnable onPathLost) {
         this.dependencies = dependencies;
         this.call = call;
         this.listener = listener;
         this.callLog = callLog;
+        this.onPathLost = onPathLost;
     }
 
-    /** Sends the call to an endpoint that the endpoint table has selected. */
-    void start(
-            EndpointRecord endpoint,
-            HttpServerExchange exchange,
-            byte[] body,
+    /**
+     * Sends the call to an endpoint that the endpoint table has selected: itself, or through a host
+     * that reaches the endpoint. Returns false, without an attempt, when there is no such host.
+     */
+    boolean start(
+            Selection.Selected selected,
+            EndpointRequest request,
             Duration remainingTime,
-            long nowNanos) {
-        attempt = new EndpointAttempt(endpoint, call, dependencies, listener);
+            XnioIoThread thread) {
+        Option<EndpointAttempt> next = createAttempt(selected);
+        if (next.isEmpty()) {
+            dependencies.endpoints().release(selected.endpoint().id());
+            return false;
+        }
+        long nowNanos = System.nanoTime();
+        callLog.dispatched(selected, next.get(), remainingTime, nowNanos);
+        attempt = next.get();
         startedAtNanos = nowNanos;
         startedOnce = true;
         answered = false;
-        attempt.start(dependencies.client(), exchange, body, remainingTime);
+        silenceWatch = SilenceWatch.start(thread, attempt, onPathLost);
+        attempt.start(request, remainingTime);
+        return true;
+    }
+
+    private Option<EndpointAttempt> createAttempt(Selection.Selected selected) {
+        ForwardingHosts hosts = dependencies.paths().forwardingHosts();
+        EndpointRecord endpoint = selected.endpoint();
+        boolean direct = selected.reachable() && !directPathDoubtful;
+        Option<EntryHost> host = direct ? Option.none() : hosts.select(endpoint.zone(), hostsTried);
+        if (host.isDefined()) {
+            dependencies.metrics().recordForwardedAttempt(endpoint.service().value());
+            return Option.some(
+                    new ForwardedAttempt(endpoint, host.get(), call.id(), dependencies, listener));
+        }
+        return selected.reachable() || !hosts.hasOthers()
+                ? Option.some(new DirectAttempt(endpoint, call.id(), dependencies, listener))
+                : Option.none();
     }
 
     boolean isInProgress() {
@@ -71,6 +115,7 @@
     /** Reports that the head of a response has arrived. */
     void reportAnswered() {
         answered = true;
+        silenceWatch.stop();
         double latencyMillis = (System.nanoTime() - startedAtNanos) / 1e6;
         report(new Observation.Answered(latencyMillis));
         dependencies.metrics().recordAttempt(endpoint().service().value(), "answered");
@@ -78,20 +123,35 @@
 
     /** Reports that the attempt ended without a response, and ends it; returns its endpoint. */
     EndpointRecord endWithoutResponse(AttemptOutcome outcome) {
-        report(
-                switch (outcome) {
-                    case AttemptOutcome.Rejected(AttemptOutcome.Cause _) ->
-                            new Observation.Rejected();
-                    case AttemptOutcome.Answered(int _) -> new Observation.Inconclusive();
-                    case AttemptOutcome.NotSent() -> new Observation.Failed();
-                    case AttemptOutcome.Unknown() -> new Observation.Failed();
-                });
+        report(observation(outcome));
+        switch (attempt) {
+            case DirectAttempt _ -> directPathDoubtful |= outcome instanceof AttemptOutcome.NotSent;
+            case ForwardedAttempt forwarded -> {
+                if (outcome instanceof AttemptOutcome.NotForwarded) {
+                    hostsTried = hostsTried.add(forwarded.host().host());
+                }
+            }
+        }
         dependencies
                 .metrics()
                 .recordAttempt(endpoint().service().value(), outcome.getClass().getSimpleName());
         return end();
     }
 
+    private Observation observation(AttemptOutcome outcome) {
+        return switch (outcome) {
+            case AttemptOutcome.Rejected(AttemptOutcome.Cause _) -> new Observation.Rejected();
+            case AttemptOutcome.Answered(int _) -> new Observation.Inconclusive();
+            case AttemptOutcome.NotSent() -> new Observation.Failed();
+            case AttemptOutcome.NotForwarded() -> new Observation.Inconclusive();
+            // The link between the hosts may have failed instead of the endpoint.
+            case AttemptOutcome.Unknown() ->
+                    attempt instanceof ForwardedAttempt
+                            ? new Observation.Inconclusive()
+                            : new Observation.Failed();
+        };
+    }
+
     private void report(Observation observation) {
         dependencies.endpoints().recordObservation(endpoint().id(), observation, System.nanoTime());
     }
@@ -99,6 +159,7 @@
     /** Ends the attempt, which no longer uses a slot of its endpoint; returns that endpoint. */
     EndpointRecord end() {
         EndpointRecord endpoint = attempt.endpoint();
+        silenceWatch.stop();
         attempt = null;
         dependencies.endpoints().release(endpoint.id());
         return endpoint;
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -0,0 +1,203 @@
+package org.tamarackfold.caller.http;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import io.vavr.control.Option;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.endpoint.ReachabilityMonitor;
+import org.tamarackfold.id.CallId;
+import org.tamarackfold.transport.ExchangeHandle;
+import org.tamarackfold.transport.HttpRequest;
+import org.tamarackfold.transport.PooledHttpClient;
+import org.tamarackfold.transport.ResponseHead;
+import org.tamarackfold.transport.ResponseListener;
+import org.tamarackfold.transport.TransportFailure;
+
+/**
+ * An attempt that sends the call to the endpoint itself. Translates the events of the HTTP exchange
+ * into the outcome of the attempt.
+ */
+final class DirectAttempt implements EndpointAttempt, ResponseListener {
+    /** Connect timeout; an endpoint that is up accepts a connection within a few ms. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    private static final int MISDIRECTED_STATUS = 421;
+
+    private final EndpointRecord endpoint;
+    private final CallId call;
+    private final PooledHttpClient client;
+    private final ReachabilityMonitor reachability;
+    private final CallHeaderNames headerNames;
+    private final EndpointTable endpoints;
+    private final RateLimitReader rateLimitReader;
+    private final LeavingReader leavingReader;
+    private final Listener listener;
+    private ExchangeHandle handle;
+
+    /** Set when the head of the response is a rejection; otherwise null. */
+    private AttemptOutcome.Rejected rejection;
+
+    private boolean headAccepted;
+
+    DirectAttempt(
+            EndpointRecord endpoint,
+            CallId call,
+            CallDependencies dependencies,
+            Listener listener) {
+        this.endpoint = endpoint;
+        this.call = call;
+        this.client = dependencies.client();
+        this.reachability = dependencies.paths().reachability();
+        this.headerNames = dependencies.headerNames();
+        this.endpoints = dependencies.endpoints();
+        this.rateLimitReader = new RateLimitReader(headerNames.rateLimit(), endpoints);
+        this.leavingReader = new LeavingReader(headerNames.leaving(), endpoints, client);
+        this.listener = listener;
+    }
+
+    @Override
+    public EndpointRecord endpoint() {
+        return endpoint;
+    }
+
+    @Override
+    public void start(EndpointRequest request, Duration remainingTime) {
+        HeaderMap headers = new HeaderMap();
+        request.headers().forEach(values -> headers.addAll(values.getHeaderName(), values));
+        headers.put(headerNames.deadline(), Long.toString(remainingTime.toMillis()));
+        headers.put(headerNames.expectedEndpoint(), endpoint.id().value());
+        HttpRequest httpRequest =
+                HttpRequest.builder()
+                        .address(endpoint.address())
+                        .method(new HttpString(request.method()))
+                        .path(request.pathAndQuery())
+                        .headers(headers)
+                        .body(request.body())
+                        .connectTimeout(CONNECT_TIMEOUT)
+                        .withoutResponseTimeout()
+                        .build();
+        handle = client.send(httpRequest, this);
+    }
+
+    @Override
+    public void cancel() {
+        if (handle != null) {
+            handle.cancel();
+        }
+    }
+
+    @Override
+    public ExchangeHandle.Stage stage() {
+        return handle.stage();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> checkPath() {
+        return reachability.check(endpoint);
+    }
+
+    @Override
+    public void setReadingPaused(boolean paused) {
+        if (handle != null) {
+            handle.setReadingPaused(paused);
+        }
+    }
+
+    @Override
+    public void onHead(ResponseHead head) {
+        endpoints.recordHeard(endpoint.id(), System.nanoTime());
+        Option<String> mismatch = mismatch(head);
+        if (mismatch.isDefined()) {
+            cancel();
+            listener.onNoResponse(new AttemptOutcome.Unknown(), mismatch.get());
+            return;
+        }
+        boolean misdirected = head.status() == MISDIRECTED_STATUS;
+        if (!misdirected) {
+            // A misdirected call was answered by another endpoint, which speaks for itself only.
+            rateLimitReader.read(endpoint.id(), call, head.headers());
+            leavingReader.read(endpoint, call, head.headers());
+        }
+        if (head.headers().contains(headerNames.notRun())) {
+            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
+            return;
+        }
+        if (misdirected) {
+            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.MISDIRECTED);
+            return;
+        }
+        headAccepted = true;
+        listener.onResponseHead(head.status(), head.headers());
+    }
+
+    /**
+     * Returns why the response, also a rejection, does not belong to this call; none if it does. An
+     * endpoint may send a copy of an earlier response late, when the connection has been reused:
+     * relayed, it would be the answer to another call, and taken for a rejection, it would let a
+     * call that runs be sent again.
+     */
+    private Option<String> mismatch(ResponseHead head) {
+        String echoedCallId = head.headers().getFirst(headerNames.callId());
+        if (echoedCallId == null) {
+            return head.reusedConnection()
+                    ? Option.some("response on a reused connection carries no call id")
+                    : Option.none();
+        }
+        return echoedCallId.equals(call.value())
+                ? Option.none()
+                : Option.some("response carries the id of another call");
+    }
+
+    @Override
+    public void onBody(ByteBuffer bytes) {
+        endpoints.recordHeard(endpoint.id(), System.nanoTime());
+        if (headAccepted) {
+            listener.onResponseBody(bytes);
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (headAccepted) {
+            listener.onResponseEnd();
+            return;
+        }
+        listener.onNoResponse(rejection, "rejected by the endpoint");
+    }
+
+    @Override
+    public void onFailure(TransportFailure failure) {
+        if (headAccepted) {
+            listener.onResponseFailure(String.valueOf(failure));
+            return;
+        }
+        if (rejection != null) {
+            listener.onNoResponse(rejection, "rejected by the endpoint");
+            return;
+        }
+        reportPath(failure);
+        AttemptOutcome outcome =
+                switch (failure) {
+                    case TransportFailure.NotSent(String _) -> new AttemptOutcome.NotSent();
+                    case TransportFailure.ClosedBeforeResponse(String _) ->
+                            new AttemptOutcome.Unknown();
+                    case TransportFailure.Broken(String _) -> new AttemptOutcome.Unknown();
+                    case TransportFailure.TimedOut(boolean _) -> new AttemptOutcome.Unknown();
+                };
+        listener.onNoResponse(outcome, String.valueOf(failure));
+    }
+
+    /** A connection that breaks may be the first sign of a cut, but endpoints reset some, too. */
+    private void reportPath(TransportFailure failure) {
+        if (failure instanceof TransportFailure.NotSent) {
+            reachability.onConnectFailed(endpoint);
+        } else {
+            reachability.check(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointPaths.java
@@ -0,0 +1,12 @@
+package org.tamarackfold.caller.http;
+
+import org.tamarackfold.endpoint.ReachabilityMonitor;
+import org.tamarackfold.peer.ForwardingHosts;
+
+/**
+ * The ways from this host to endpoints.
+ *
+ * @param reachability finds out which endpoints this host reaches itself
+ * @param forwardingHosts selects the hosts that forward calls to the others
+ */
+public record EndpointPaths(ReachabilityMonitor reachability, ForwardingHosts forwardingHosts) {}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointRequest.java
@@ -0,0 +1,37 @@
+package org.tamarackfold.caller.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.id.CallId;
+
+/**
+ * The request of a call as each of its attempts sends it to an endpoint.
+ *
+ * @param headers the end-to-end headers without those that entry hosts set for an attempt
+ * @param retryable whether the call may be retried although an endpoint may have run it
+ */
+record EndpointRequest(
+        CallId call,
+        String method,
+        String pathAndQuery,
+        HeaderMap headers,
+        byte[] body,
+        boolean retryable) {
+    /** Returns the request that was received in an exchange, with the given body. */
+    static EndpointRequest of(
+            HttpServerExchange exchange,
+            CallDescription call,
+            CallHeaderNames headerNames,
+            byte[] body,
+            boolean retryable) {
+        String query = exchange.getQueryString();
+        return new EndpointRequest(
+                call.id(),
+                call.method(),
+                query.isEmpty() ? call.path() : call.path() + '?' + query,
+                EndToEndHeaders.forEndpoint(exchange.getRequestHeaders(), headerNames),
+                body,
+                retryable);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedCallExchange.java
@@ -0,0 +1,205 @@
+package org.tamarackfold.caller.http;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.nio.ByteBuffer;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.log.StructuredLog;
+import org.tamarackfold.peer.ForwardReply;
+import org.tamarackfold.peer.ForwardedCall;
+import org.tamarackfold.peer.http.ForwardReplyFrames;
+import org.tamarackfold.transport.ResponseWriter;
+import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
+
+/**
+ * One call that this host forwards for another: a direct attempt whose events become replies. Runs
+ * on the I/O thread of the connection from the other host. A response that breaks off breaks off
+ * this connection, so that it does not look complete.
+ */
+final class ForwardedCallExchange implements EndpointAttempt.Listener {
+    private static final StructuredLog LOG = StructuredLog.of("forward");
+
+    /** Bytes queued for the other host above which reading from the endpoint pauses. */
+    private static final long PAUSE_THRESHOLD_BYTES = 256 * 1024;
+
+    private final CallDependencies dependencies;
+    private final Set<ForwardedCallExchange> calls;
+    private final HttpServerExchange exchange;
+    private final XnioIoThread thread;
+    private final ForwardedCall call;
+    private final DirectAttempt attempt;
+    private final ResponseWriter writer;
+    private final long startedAtNanos = System.nanoTime();
+    private DisconnectDetector disconnectDetector;
+    private SilenceWatch silenceWatch;
+    private XnioIoThread.Key deadline;
+    private boolean paused;
+    private boolean finished;
+
+    ForwardedCallExchange(
+            CallDependencies dependencies,
+            Set<ForwardedCallExchange> calls,
+            HttpServerExchange exchange,
+            ForwardedCall call,
+            EndpointRecord endpoint) {
+        this.dependencies = dependencies;
+        this.calls = calls;
+        this.exchange = exchange;
+        this.thread = exchange.getIoThread();
+        this.call = call;
+        this.attempt = new DirectAttempt(endpoint, call.id(), dependencies, this);
+        this.writer = new ResponseWriter(exchange, this::onQueueEmpty);
+    }
+
+    int bodyBytes() {
+        return call.body().length;
+    }
+
+    void start() {
+        calls.add(this);
+        LOG.event("forwarding")
+                .with("call", call.id())
+                .with("endpoint", call.endpoint())
+                .with("peer", exchange.getSourceAddress())
+                .with("left_ms", call.remainingTime().toMillis())
+                .info();
+        disconnectDetector = DisconnectDetector.start(exchange, this::onSenderDisconnected);
+        deadline =
+                thread.executeAfter(
+                        this::onDeadline,
+                        Math.max(1, call.remainingTime().toMillis()),
+                        TimeUnit.MILLISECONDS);
+        write(new ForwardReply.Accepted());
+        silenceWatch = SilenceWatch.start(thread, attempt, this::onPathLost);
+        attempt.start(
+                new EndpointRequest(
+                        call.id(),
+                        call.method(),
+                        call.pathAndQuery(),
+                        ForwardedHeaders.toMap(call.headers()),
+                        call.body(),
+                        call.isRetryable()),
+                call.remainingTime());
+    }
+
+    private void write(ForwardReply reply) {
+        writer.write(ForwardReplyFrames.encode(reply));
+    }
+
+    private void onQueueEmpty() {
+        if (paused && writer.pendingBytes() == 0) {
+            paused = false;
+            attempt.setReadingPaused(false);
+        }
+    }
+
+    /** Ends a call whose sender can retry it; the response of another one may still come. */
+    private void onPathLost() {
+        if (finished || !call.isRetryable()) {
+            return;
+        }
+        attempt.cancel();
+        endWith(new ForwardReply.Unknown("path to the endpoint lost"));
+    }
+
+    private void onDeadline() {
+        breakOff("deadline passed");
+    }
+
+    /** Breaks off the call because the host stops. Called on any thread. */
+    void endBecauseStopping() {
+        thread.execute(() -> breakOff("the host is stopping"));
+    }
+
+    private void onSenderDisconnected() {
+        breakOff("sender closed its connection");
+    }
+
+    private void breakOff(String reason) {
+        if (finished) {
+            return;
+        }
+        attempt.cancel();
+        finish("broken_off", reason);
+        writer.abort();
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    @Override
+    public void onResponseHead(int status, HeaderMap headers) {
+        silenceWatch.stop();
+        write(new ForwardReply.Head(status, ForwardedHeaders.toList(headers)));
+    }
+
+    @Override
+    public void onResponseBody(ByteBuffer bytes) {
+        byte[] part = new byte[bytes.remaining()];
+        bytes.get(part);
+        writer.write(part);
+        if (!paused && writer.pendingBytes() > PAUSE_THRESHOLD_BYTES) {
+            paused = true;
+            attempt.setReadingPaused(true);
+        }
+    }
+
+    @Override
+    public void onResponseEnd() {
+        if (!finished) {
+            finish("answered", "response complete");
+            writer.end();
+        }
+    }
+
+    @Override
+    public void onResponseFailure(String reason) {
+        if (!finished) {
+            finish("broken_off", reason);
+            writer.abort();
+        }
+    }
+
+    @Override
+    public void onNoResponse(AttemptOutcome outcome, String reason) {
+        if (finished) {
+            return;
+        }
+        endWith(
+                switch (outcome) {
+                    case AttemptOutcome.Rejected(AttemptOutcome.Cause cause) ->
+                            cause == AttemptOutcome.Cause.FULL
+                                    ? new ForwardReply.Full()
+                                    : new ForwardReply.Misdirected();
+                    case AttemptOutcome.NotSent() -> new ForwardReply.NotSent(reason);
+                    case AttemptOutcome.Unknown(),
+                            AttemptOutcome.Answered(int _),
+                            AttemptOutcome.NotForwarded() ->
+                            new ForwardReply.Unknown(reason);
+                });
+    }
+
+    private void endWith(ForwardReply reply) {
+        finish(reply.getClass().getSimpleName(), String.valueOf(reply));
+        write(reply);
+        writer.end();
+    }
+
+    private void finish(String result, String reason) {
+        finished = true;
+        calls.remove(this);
+        deadline.remove();
+        disconnectDetector.stop();
+        silenceWatch.stop();
+        LOG.event("forwarded")
+                .with("call", call.id())
+                .with("endpoint", call.endpoint())
+                .with("result", result)
+                .with("reason", reason)
+                .with("ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos))
+                .info();
+        dependencies.metrics().recordForwardedCall(result);
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedHeaders.java
@@ -0,0 +1,33 @@
+package org.tamarackfold.caller.http;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.util.ArrayList;
+import java.util.List;
+import org.tamarackfold.peer.ForwardedCall;
+
+/** Converts HTTP headers to and from those of the messages between entry hosts. */
+final class ForwardedHeaders {
+    private ForwardedHeaders() {}
+
+    static Vector<ForwardedCall.Header> toList(HeaderMap headers) {
+        List<ForwardedCall.Header> list = new ArrayList<>();
+        headers.forEach(
+                values ->
+                        values.forEach(
+                                value ->
+                                        list.add(
+                                                new ForwardedCall.Header(
+                                                        values.getHeaderName().toString(),
+                                                        value))));
+        return Vector.ofAll(list);
+    }
+
+    static HeaderMap toMap(Seq<ForwardedCall.Header> headers) {
+        HeaderMap map = new HeaderMap();
+        headers.forEach(header -> map.add(new HttpString(header.name()), header.value()));
+        return map;
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointCost.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointCost.java
@@ -24,6 +24,13 @@
      */
     private static final double PERMIT_BONUS = 0.35;
 
+    /**
+     * Added for an endpoint that only other hosts reach. Such a call takes the processor time of
+     * two hosts; but where only some endpoints are out of reach, the others must not receive the
+     * calls of all.
+     */
+    private static final double FORWARDING_PENALTY = 0.3;
+
     /**
      * Added for an endpoint in back-off after a failure, so that every other eligible endpoint is
      * selected before it.
@@ -67,6 +74,9 @@
         } else if (state.isLimited()) {
             cost -= PERMIT_BONUS;
         }
+        if (!state.isReachable()) {
+            cost += FORWARDING_PENALTY;
+        }
         if (state.isInBackoff(nowNanos)) {
             cost += BACKOFF_PENALTY;
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -16,6 +16,7 @@
     private long backoffEndNanos;
     private boolean backoffActive;
     private Option<Long> heardAtNanos = Option.none();
+    private boolean reachable = true;
     private Option<StatedRateLimit> rateLimit = Option.none();
 
     EndpointState(EndpointRecord record) {
@@ -111,6 +112,15 @@
         return heardAtNanos;
     }
 
+    /** Returns whether this host can open connections to the endpoint, as far as it knows. */
+    boolean isReachable() {
+        return reachable;
+    }
+
+    void setReachable(boolean value) {
+        reachable = value;
+    }
+
     /** Returns the number of consecutive failures, including this one. */
     int recordFailure() {
         return ++consecutiveFailures;
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.endpoint;
 
 import io.vavr.collection.Stream;
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.time.InstantSource;
@@ -70,13 +71,26 @@
                 () -> {
                     EndpointState state = states.get(record.id());
                     if (state == null) {
-                        states.put(record.id(), new EndpointState(record));
+                        states.put(record.id(), newState(record));
                     } else {
                         state.update(record);
                     }
                 });
     }
 
+    /** An endpoint that registers while its whole service is out of reach is so, too. */
+    private EndpointState newState(EndpointRecord record) {
+        EndpointState state = new EndpointState(record);
+        Stream<EndpointState> others = ofService(record.service());
+        state.setReachable(others.isEmpty() || others.exists(EndpointState::isReachable));
+        return state;
+    }
+
+    private Stream<EndpointState> ofService(ServiceName service) {
+        return Stream.ofAll(states.values())
+                .filter(state -> state.record().service().equals(service));
+    }
+
     /** Removes an endpoint; returns its registration, none when it is unknown. */
     public Option<EndpointRecord> remove(EndpointId id) {
         return lock.withLock(
@@ -136,7 +150,10 @@
                     EndpointState picked = pick(eligible, open, shares, request, nowNanos);
                     picked.countSentCall();
                     return new Selection.Selected(
-                            picked.record(), picked.inFlight(), picked.rateLimit());
+                            picked.record(),
+                            picked.inFlight(),
+                            picked.rateLimit(),
+                            picked.isReachable());
                 });
     }
 
@@ -298,14 +315,48 @@
     public Option<Duration> timeSinceHeard(ServiceName service, long nowNanos) {
         return lock.withLock(
                 () ->
-                        Stream.ofAll(states.values())
-                                .filter(state -> state.record().service().equals(service))
+                        ofService(service)
                                 .flatMap(EndpointState::heardAtNanos)
                                 .map(heardAt -> nowNanos - heardAt)
                                 .min()
                                 .map(Duration::ofNanos));
     }
 
+    /** Returns the endpoints that are neither draining nor leaving, with what is known of them. */
+    public Vector<ObservedEndpoint> available(long nowNanos) {
+        return lock.withLock(
+                () ->
+                        Vector.ofAll(states.values())
+                                .filter(state -> !isDrainingOrLeaving(state.record(), nowNanos))
+                                .map(
+                                        state ->
+                                                new ObservedEndpoint(
+                                                        state.record(),
+                                                        state.isReachable(),
+                                                        state.heardAtNanos())));
+    }
+
+    /** Returns an endpoint that is neither draining nor leaving, if there is one of this id. */
+    public Option<ObservedEndpoint> available(EndpointId id, long nowNanos) {
+        return available(nowNanos).find(observed -> observed.record().id().equals(id));
+    }
+
+    /**
+     * Records whether this host can open connections to an endpoint; returns whether that was not
+     * known before.
+     */
+    public boolean setReachable(EndpointId id, boolean reachable) {
+        return lock.withLock(
+                () -> {
+                    EndpointState state = states.get(id);
+                    if (state == null || state.isReachable() == reachable) {
+                        return false;
+                    }
+                    state.setReachable(reachable);
+                    return true;
+                });
+    }
+
     /**
      * Records the rate limit that a response of an endpoint states, none when it states none.
      * Returns the one before; for an endpoint that has been removed, the given one.
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/Selection.java
@@ -10,8 +10,14 @@
      *
      * @param inFlight the calls that this host has in flight there, including this one
      * @param rateLimit the limit that the endpoint stated last; none when it states none
+     * @param reachable whether this host reaches the endpoint itself; otherwise another host must
+     *     forward the call
      */
-    record Selected(EndpointRecord endpoint, int inFlight, Option<StatedRateLimit> rateLimit)
+    record Selected(
+            EndpointRecord endpoint,
+            int inFlight,
+            Option<StatedRateLimit> rateLimit,
+            boolean reachable)
             implements Selection {}
 
     /**
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/http/PooledEndpointConnections.java
@@ -0,0 +1,35 @@
+package org.tamarackfold.endpoint.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.endpoint.EndpointConnections;
+import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.transport.PooledHttpClient;
+
+/** The connections to endpoints in the pool of the HTTP client. */
+public final class PooledEndpointConnections implements EndpointConnections {
+    /**
+     * Timeout for opening a connection. An endpoint that is up accepts one within a few ms, also
+     * while it answers no call.
+     */
+    private static final Duration OPEN_TIMEOUT = Duration.ofMillis(300);
+
+    private final PooledHttpClient client;
+
+    /** Creates the connections over the given client. */
+    public PooledEndpointConnections(PooledHttpClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> test(EndpointRecord endpoint) {
+        CompletableFuture<Boolean> opened = new CompletableFuture<>();
+        client.testConnection(endpoint.address(), OPEN_TIMEOUT, opened::complete);
+        return opened;
+    }
+
+    @Override
+    public void closeIdle(EndpointRecord endpoint) {
+        client.closeIdleConnections(endpoint.address());
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP connections to endpoints. */
+package org.tamarackfold.endpoint.http;
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -2,12 +2,14 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.IntSupplier;
 
 /** The metrics of one host process. Thread-safe. */
 public final class HostMetrics {
@@ -19,6 +21,8 @@
     private final Counter limitedAttempts;
     private final Counter rateLimitedSelections;
     private final Counter callsInStop;
+    private final Counter forwardedAttempts;
+    private final Counter forwardedCalls;
     private final Counter keyValueCalls;
     private final Counter peerCalls;
     private final Gauge openPeerRequests;
@@ -49,6 +53,16 @@
                         "calls_in_stop",
                         "Calls during a planned stop of this host, by what became of them.",
                         "result");
+        forwardedAttempts =
+                counter(
+                        "forwarded_attempts",
+                        "Attempts that another entry host was asked to send, by service.",
+                        "service");
+        forwardedCalls =
+                counter(
+                        "forwarded_calls",
+                        "Calls of other entry hosts that this host was asked to send, by result.",
+                        "result");
         keyValueCalls =
                 counter(
                         "key_value_calls",
@@ -62,27 +76,28 @@
                         "operation",
                         "outcome");
         openPeerRequests =
-                Gauge.builder()
-                        .name(PREFIX + "open_peer_requests")
-                        .help("Requests to other hosts that wait for a reply.")
-                        .register(registry);
+                gauge("open_peer_requests", "Requests to other hosts that wait for a reply.");
         eventLoopDelay =
-                Histogram.builder()
-                        .name(PREFIX + "event_loop_delay_seconds")
-                        .help("How late a periodic timer runs on the I/O thread.")
-                        .classicOnly()
+                histogram(
+                                "event_loop_delay_seconds",
+                                "How late a periodic timer runs on the I/O thread.")
                         .classicUpperBounds(.005, .02, .05, .1, .2, .4, .8, 1.6, 3.2)
                         .register(registry);
         callLatency =
-                Histogram.builder()
-                        .name(PREFIX + "call_seconds")
-                        .help("Time from the arrival of a call to the end of its answer.")
+                histogram("call_seconds", "Time from the arrival of a call to its end.")
                         .labelNames("route")
-                        .classicOnly()
                         .classicUpperBounds(.02, .05, .1, .2, .4, .8, 1.6, 3.2, 6.4)
                         .register(registry);
     }
 
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(PREFIX + name).help(help).register(registry);
+    }
+
+    private static Histogram.Builder histogram(String name, String help) {
+        return Histogram.builder().name(PREFIX + name).help(help).classicOnly();
+    }
+
     private Counter counter(String name, String help, String... labels) {
         return Counter.builder()
                 .name(PREFIX + name)
@@ -125,6 +140,28 @@
         callsInStop.labelValues(result).inc();
     }
 
+    /** Counts an attempt that another entry host is asked to send. */
+    public void recordForwardedAttempt(String service) {
+        forwardedAttempts.labelValues(service).inc();
+    }
+
+    /** Counts a call of another entry host. */
+    public void recordForwardedCall(String result) {
+        forwardedCalls.labelValues(result).inc();
+    }
+
+    /**
+     * Serves the number of endpoints that this host does not reach, read at each scrape. Called
+     * once.
+     */
+    public void observeUnreachableEndpoints(IntSupplier count) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + "unreachable_endpoints")
+                .help("Endpoints that this host cannot open connections to.")
+                .callback(callback -> callback.call(count.getAsInt()))
+                .register(registry);
+    }
+
     /** Counts a finished or failed call to the key-value service. */
     public void recordKeyValueCall(String operation, String outcome) {
         keyValueCalls.labelValues(operation, outcome).inc();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -7,8 +7,12 @@
 import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.caller.http.CallDependencies;
 import org.tamarackfold.caller.http.CallHandler;
+import org.tamarackfold.caller.http.EndpointPaths;
+import org.tamarackfold.caller.http.ForwardHandler;
 import org.tamarackfold.endpoint.EndpointRegistry;
 import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.endpoint.ReachabilityMonitor;
+import org.tamarackfold.endpoint.http.PooledEndpointConnections;
 import org.tamarackfold.keyvalue.LeasedKey;
 import org.tamarackfold.keyvalue.PrefixDispatcher;
 import org.tamarackfold.log.StructuredLog;
@@ -16,6 +20,7 @@
 import org.tamarackfold.node.EntryFleet;
 import org.tamarackfold.operator.ReleaseHolder;
 import org.tamarackfold.peer.EntryHost;
+import org.tamarackfold.peer.ForwardingHosts;
 import org.tamarackfold.peer.HistoryClient;
 import org.tamarackfold.peer.LayoutHolder;
 import org.tamarackfold.peer.RelayService;
@@ -40,7 +45,10 @@
     private final EndpointTable endpoints;
     private final EndpointListener endpointListener;
     private final LeasedKey registration;
+    private final EntryHost self;
+    private final ReachabilityMonitor reachability;
     private final CallHandler callHandler;
+    private final ForwardHandler forwardHandler;
     private final HttpListeners listeners;
     private volatile boolean stopping;
 
@@ -54,8 +62,21 @@
                         InstantSource.system());
         EndpointRegistry registry = new EndpointRegistry(endpoints, components.scheduler());
         endpointListener = new EndpointListener(adapter, registry);
-        callHandler = new CallHandler(newCallDependencies());
-        registration = newRegistration(settings);
+        self = newSelf(settings);
+        registration =
+                components.newRegistration(
+                        SharedKeys.entryHost(settings.host()), components.codec().encode(self));
+        reachability =
+                new ReachabilityMonitor(
+                        endpoints,
+                        new PooledEndpointConnections(components.client()),
+                        components.scheduler(),
+                        components.random(),
+                        this::onContactChanged);
+        components.metrics().observeUnreachableEndpoints(reachability::unreachableCount);
+        CallDependencies callDependencies = newCallDependencies();
+        callHandler = new CallHandler(callDependencies);
+        forwardHandler = new ForwardHandler(callDependencies);
         listeners =
                 new HttpListeners(components.runtime())
                         .add(settings.callerAddress().get(), callHandler)
@@ -70,7 +91,10 @@
                                         settings.directoryTimeToLive()))
                         .add(
                                 settings.peerAddress(),
-                                new PeerHandler(new RelayService(components.channel())))
+                                Handlers.byPath(
+                                        ForwardHandler.PATH,
+                                        forwardHandler,
+                                        new PeerHandler(new RelayService(components.channel()))))
                         .add(settings.metricsAddress(), Handlers.metrics(components.metrics()))
                         .start();
     }
@@ -93,6 +117,7 @@
                 components.adapter().callHeaderNames(),
                 releases,
                 endpoints,
+                new EndpointPaths(reachability, newForwardingHosts()),
                 components.client(),
                 new HistoryClient(
                         components.layouts(), newStorageRequestSender(), components.scheduler()),
@@ -109,16 +134,28 @@
                 components.random());
     }
 
-    private LeasedKey newRegistration(HostSettings settings) {
-        EntryHost self =
-                new EntryHost(
-                        settings.host(),
-                        settings.callerAddress().get(),
-                        settings.zone(),
-                        settings.peerAddress(),
-                        settings.processorMillis());
-        return components.newRegistration(
-                SharedKeys.entryHost(settings.host()), components.codec().encode(self));
+    private ForwardingHosts newForwardingHosts() {
+        return new ForwardingHosts(
+                components.settings().host(),
+                components.settings().zone(),
+                components.hostTable(),
+                components.scheduler(),
+                components.random());
+    }
+
+    private static EntryHost newSelf(HostSettings settings) {
+        return new EntryHost(
+                settings.host(),
+                settings.callerAddress().get(),
+                settings.zone(),
+                settings.peerAddress(),
+                settings.processorMillis());
+    }
+
+    /** Tells the other hosts, whose directories and forwarded calls depend on it. */
+    private void onContactChanged(boolean reachesEndpoints) {
+        registration.replaceValue(
+                components.codec().encode(self.withReachesEndpoints(reachesEndpoints)));
     }
 
     private void startWatch() {
@@ -158,6 +195,7 @@
         }
         LOG.event("ready").with("endpoints", endpoints.size()).info();
         registration.start();
+        reachability.start();
     }
 
     @Override
@@ -175,12 +213,14 @@
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         registration.stop();
         callHandler.startDraining(stopRequestedAtNanos, schedule);
+        forwardHandler.startDraining();
         awaitQuiet(schedule, schedule.finalResponseNanos());
         if (!isQuiet(schedule)) {
             LOG.event("ending_calls").with("active_calls", callHandler.activeCalls()).info();
         }
         // Also on a quiet host: a call may arrive before its connection is closed.
         callHandler.endCalls();
+        forwardHandler.endCalls();
         awaitQuiet(schedule, schedule.closeNanos());
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         listeners.stop();
@@ -194,6 +234,7 @@
 
     private boolean isQuiet(StopSchedule schedule) {
         return callHandler.activeCalls() == 0
+                && forwardHandler.activeCalls() == 0
                 && System.nanoTime() - schedule.quietNanos(callHandler.lastCallNanos()) > 0;
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/Handlers.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/Handlers.java
@@ -16,6 +16,14 @@
 final class Handlers {
     private Handlers() {}
 
+    /** Returns a handler that passes requests of one path to a handler of their own. */
+    static HttpHandler byPath(String path, HttpHandler handler, HttpHandler others) {
+        return exchange -> {
+            HttpHandler selected = exchange.getRequestPath().equals(path) ? handler : others;
+            selected.handleRequest(exchange);
+        };
+    }
+
     static HttpHandler metrics(HostMetrics metrics) {
         return exchange -> {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/plain; version=0.0.4");
