Do not take the delay of a busy I/O thread for a connect timeout

Cause: the I/O thread runs timers that are due before it looks at its connections. After a delay of its own, longer than the timeout, a connection that was open long ago counted as timed out: the endpoint as out of reach, and with several of them the whole path. Found by reading the change again.

Change: a due timer lets the thread look at its connections once more first.

Failed before: ConnectionTimeoutTest.connectionThatOpensMeanwhileHasNotTimedOut, with a thread that is blocked for 400 ms and a timeout of 100 ms.

--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
@@ -40,9 +40,7 @@
     }
 
     void start(Address address, Duration timeout) {
-        timer =
-                thread.executeAfter(
-                        this::onTimeout, Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+        setTimer(timeout.toMillis(), this::onTimerDue);
         try {
             UndertowClient.getInstance()
                     .connect(
@@ -57,6 +55,18 @@
         }
     }
 
+    private void setTimer(long millis, Runnable action) {
+        timer = thread.executeAfter(action, Math.max(1, millis), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Lets the thread look at its connections once more: it runs due timers first, so that after a
+     * delay of its own a connection that was opened long ago would seem to have timed out.
+     */
+    private void onTimerDue() {
+        setTimer(1, this::onTimeout);
+    }
+
     private void onTimeout() {
         opener.cancel();
         finish(Either.left("connect timed out"));
