Leave hosts without contact a part of the rate limits that callers still need

Cause: a host that reaches no endpoint leaves the directory, and its share of rate limits fell to that of a host on standby at once, although callers keep its address for some seconds; its calls to limited endpoints would all be refused.

Change: such a host weighs 0.2 of an active one.

--- a/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/EntryFleet.java
@@ -23,6 +23,12 @@
      */
     private static final double STANDBY_WEIGHT = 0.01;
 
+    /**
+     * Callers keep an address for some seconds after the directory has left out a host that reaches
+     * no endpoint, and such a host still needs a part of each limit for them.
+     */
+    private static final double WITHOUT_CONTACT_WEIGHT = 0.2;
+
     private final HostId self;
     private final HostTable hostTable;
     private volatile CachedShares cached;
@@ -51,14 +57,19 @@
         return current.shares();
     }
 
+    private static Vector<EntryHost> active(Vector<EntryHost> hosts) {
+        return Vector.ofAll(hosts.groupBy(EntryHost::zone).values())
+                .flatMap(ActiveEntryHosts::ofZone);
+    }
+
     private Map<HostId, Double> weights(Vector<EntryHost> hosts) {
         Map<HostId, Double> weights =
                 HashMap.ofEntries(hosts.map(host -> Tuple.of(host.host(), STANDBY_WEIGHT)));
-        for (Vector<EntryHost> zoneHosts :
-                ActiveEntryHosts.withContact(hosts).groupBy(EntryHost::zone).values()) {
-            for (EntryHost active : ActiveEntryHosts.ofZone(zoneHosts)) {
-                weights = weights.put(active.host(), ACTIVE_WEIGHT);
-            }
+        for (EntryHost host : active(hosts)) {
+            weights = weights.put(host.host(), WITHOUT_CONTACT_WEIGHT);
+        }
+        for (EntryHost host : active(ActiveEntryHosts.withContact(hosts))) {
+            weights = weights.put(host.host(), ACTIVE_WEIGHT);
         }
         return weights.containsKey(self) ? weights : weights.put(self, ACTIVE_WEIGHT);
     }
