Teach the fault soak hosts that reach no endpoint

Each entry host reads the registrations of endpoints through a view of its own (HostLinks), with a proxy for each endpoint, so that the links of single hosts can hang, be reset, or refuse new connections while those of others hold. The new selection 'cuts' injects such cuts in series and overlapping, beside planned work, and compares first tries at cut hosts with those at the others (ContactCheck). The tests of whole hosts use the same proxy instead of one of their own.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -38,8 +38,10 @@
     @Option(
             name = "--faults",
             title = "selection",
-            description = "planned, unplanned, all, or versions (all, with two software versions)")
-    @AllowedRawValues(allowedValues = {"planned", "unplanned", "all", "versions"})
+            description =
+                    "planned, unplanned, all, versions (all, with two software versions), or cuts"
+                            + " (hosts cut off from endpoints, beside planned work)")
+    @AllowedRawValues(allowedValues = {"planned", "unplanned", "all", "versions", "cuts"})
     private String faults = "all";
 
     /** Creates the command; the command-line parser sets its options. */
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
@@ -8,16 +8,29 @@
     /** Time for which a fault excuses what happens after its end, in nanoseconds. */
     public static final long CONTACT_NANOS = 3_000_000_000L;
 
+    /** Scope of a fault of all hosts. */
+    public static final String ALL_HOSTS = "all hosts";
+
+    /** What a fault excuses. */
+    public enum Kind {
+        /** Work that operators announce, such as SIGTERM. */
+        PLANNED,
+        /** Entry hosts that are cut off from endpoints and must serve nevertheless. */
+        CUT,
+        /** Any other disruption. */
+        UNPLANNED
+    }
+
     /** A fault. */
     public static final class Entry {
         private final String scope;
-        private final boolean planned;
+        private final Kind kind;
         private final long startNanos = System.nanoTime();
         private volatile long endNanos = Long.MAX_VALUE;
 
-        private Entry(String scope, boolean planned) {
+        private Entry(String scope, Kind kind) {
             this.scope = scope;
-            this.planned = planned;
+            this.kind = kind;
         }
 
         /** Marks the end of the fault. */
@@ -36,10 +49,9 @@
      * Records the start of a fault.
      *
      * @param scope the host or endpoint concerned, or a name of what else is
-     * @param planned whether it is work that operators announce, such as SIGTERM
      */
-    public Entry begin(String scope, boolean planned) {
-        Entry entry = new Entry(scope, planned);
+    public Entry begin(String scope, Kind kind) {
+        Entry entry = new Entry(scope, kind);
         entries.add(entry);
         return entry;
     }
@@ -47,7 +59,14 @@
     /** Returns whether an unplanned fault excuses an event in this period. */
     boolean isDisturbed(long fromNanos, long toNanos) {
         return entries.stream()
-                .filter(entry -> !entry.planned)
+                .filter(entry -> entry.kind != Kind.PLANNED)
+                .anyMatch(entry -> entry.overlaps(fromNanos - CONTACT_NANOS, toNanos));
+    }
+
+    /** Returns whether faults other than cuts between hosts and endpoints were in force. */
+    boolean hasOtherThanCuts(long fromNanos, long toNanos) {
+        return entries.stream()
+                .filter(entry -> entry.kind == Kind.UNPLANNED)
                 .anyMatch(entry -> entry.overlaps(fromNanos - CONTACT_NANOS, toNanos));
     }
 
@@ -58,10 +77,17 @@
                 .anyMatch(entry -> entry.overlaps(atNanos - CONTACT_NANOS, atNanos));
     }
 
+    /** Returns whether a host was restarted or frozen in a period. */
+    boolean wasInterrupted(String host, long fromNanos, long toNanos) {
+        return entries.stream()
+                .filter(entry -> entry.scope.equals(host) || entry.scope.equals(ALL_HOSTS))
+                .anyMatch(entry -> entry.overlaps(fromNanos, toNanos));
+    }
+
     /** Returns the start of the planned stop of a scope in force at a time; -1 when none is. */
     long plannedStopAt(String scope, long atNanos) {
         return entries.stream()
-                .filter(entry -> entry.planned && entry.scope.equals(scope))
+                .filter(entry -> entry.kind == Kind.PLANNED && entry.scope.equals(scope))
                 .filter(entry -> entry.overlaps(atNanos, atNanos))
                 .mapToLong(entry -> entry.startNanos)
                 .findFirst()
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
@@ -3,7 +3,9 @@
 import io.vavr.collection.Vector;
 import java.io.PrintStream;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
@@ -29,18 +31,28 @@
     /** A run of an attempt at an endpoint, and the answer that it sends. */
     private record Run(CallId attempt, String answer) {}
 
+    private record LeavingMark(HostId host, EndpointId endpoint) {}
+
     private static final class Attempt {
         final CallId call;
         final CallKind kind;
         final HostId host;
         final String expectedBody;
+        final boolean firstTry;
         final long sentNanos = System.nanoTime();
         final long deadlineNanos;
         Outcome outcome;
         int runs;
         long lastRunEndNanos;
 
-        Attempt(CallId call, CallKind kind, HostId host, String expectedBody, long deadlineNanos) {
+        Attempt(
+                CallId call,
+                CallKind kind,
+                HostId host,
+                String expectedBody,
+                boolean firstTry,
+                long deadlineNanos) {
+            this.firstTry = firstTry;
             this.call = call;
             this.kind = kind;
             this.host = host;
@@ -55,8 +67,13 @@
     private final long graceNanos;
     private final long startNanos = System.nanoTime();
     private final Map<CallId, Attempt> attempts = new HashMap<>();
+    private final Set<CallId> calls = new HashSet<>();
     private final Map<CallId, Integer> runsOfCalls = new HashMap<>();
     private final Map<String, Run> runs = new HashMap<>();
+
+    /** When a host first passed on a response in which an endpoint states that it leaves. */
+    private final Map<LeavingMark, Long> leavingSinceNanos = new HashMap<>();
+
     private final Map<String, Integer> counts = new TreeMap<>();
     private Vector<String> violations = Vector.empty();
     private int cuts;
@@ -114,7 +131,8 @@
             HostId host,
             String expectedBody,
             long deadlineNanos) {
-        attempts.put(attempt, new Attempt(call, kind, host, expectedBody, deadlineNanos));
+        boolean firstTry = calls.add(call);
+        attempts.put(attempt, new Attempt(call, kind, host, expectedBody, firstTry, deadlineNanos));
     }
 
     /** Records that an endpoint begins to run an attempt. */
@@ -141,6 +159,31 @@
         if (attempt.outcome instanceof Outcome.Rejected rejected) {
             checkRefusal(id, attempt, rejected);
         }
+        checkLeaving(id, attempt, endpoint);
+    }
+
+    /** Records that a caller received a response in which an endpoint states that it leaves. */
+    public synchronized void leavingPassedOn(CallId id, EndpointId endpoint) {
+        leavingSinceNanos.putIfAbsent(
+                new LeavingMark(attempts.get(id).host, endpoint), System.nanoTime());
+    }
+
+    /** Checks a call at an endpoint of which its host has passed on that it leaves. */
+    private void checkLeaving(CallId id, Attempt attempt, EndpointId endpoint) {
+        Long sinceNanos = leavingSinceNanos.get(new LeavingMark(attempt.host, endpoint));
+        if (sinceNanos == null
+                || attempt.sentNanos - sinceNanos < DRAIN_NANOS
+                || faults.wasInterrupted(attempt.host.value(), sinceNanos, System.nanoTime())) {
+            return;
+        }
+        report(
+                Rule.DRAIN,
+                id,
+                "%s reached %s, sent %d ms after it had passed on that the endpoint leaves"
+                        .formatted(
+                                attempt.host,
+                                endpoint,
+                                (attempt.sentNanos - sinceNanos) / 1_000_000));
     }
 
     /** Records the end of a run at its endpoint. */
@@ -177,6 +220,30 @@
         }
     }
 
+    /**
+     * Checks the first tries at hosts that have been cut off from all endpoints until now, from the
+     * time on by which they must have found out. Not checked beside other unplanned faults.
+     */
+    public synchronized void checkContact(Set<HostId> cutHosts, long cutSinceNanos) {
+        long fromNanos = cutSinceNanos + FaultTimeline.CONTACT_NANOS;
+        if (faults.hasOtherThanCuts(fromNanos, System.nanoTime())) {
+            return;
+        }
+        ContactCheck check = new ContactCheck(cutHosts);
+        attempts.forEach(
+                (id, attempt) -> {
+                    if (attempt.firstTry
+                            && attempt.sentNanos > fromNanos
+                            && attempt.outcome != null) {
+                        check.add(attempt.host, attempt.outcome instanceof Outcome.Served);
+                    }
+                });
+        out.println("contact seed=%d %s".formatted(seed, check));
+        if (check.isBroken()) {
+            report(Rule.RECOVER, "none", check.toString());
+        }
+    }
+
     /** Returns whether a run with this signature belongs to an attempt and sent this answer. */
     public synchronized boolean isAnswer(CallId attempt, String signature, String body) {
         Run run = runs.get(signature);
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -181,6 +181,7 @@
                 outcome = answered(future.get(patienceMillis, TimeUnit.MILLISECONDS));
                 if (outcome instanceof Outcome.Served) {
                     checkSignature(attempt, future.join(), body.toString(StandardCharsets.UTF_8));
+                    readLeaving(attempt, future.join());
                 }
             } catch (TimeoutException e) {
                 future.cancel(true);
@@ -258,6 +259,16 @@
             }
         }
 
+        private void readLeaving(CallId attempt, HttpResponse<?> response) {
+            boolean leaving = response.headers().firstValue(NAMES.leaving().toString()).isPresent();
+            if (leaving) {
+                response.headers()
+                        .firstValue(PlatformDocuments.SIGNATURE.toString())
+                        .map(StandInEndpoint::endpointOf)
+                        .ifPresent(endpoint -> ledger.leavingPassedOn(attempt, endpoint));
+            }
+        }
+
         /** Reads the complete events of a body, which may end early. */
         private void receiveEvents(CallId attempt, String body) {
             int end = body.lastIndexOf("\n\n");
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
@@ -3,11 +3,15 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,28 +45,62 @@
 
         /** Connections are reset, new ones too. */
         record Refusing() implements Condition {}
+
+        /**
+         * Open connections hold their bytes until the condition ends; new ones are neither accepted
+         * nor refused.
+         */
+        record Hanging() implements Condition {}
+
+        /**
+         * New connections are refused, as by a host without a listener.
+         *
+         * @param resetsOpen whether open connections are reset; otherwise they go on
+         */
+        record Closed(boolean resetsOpen) implements Condition {}
     }
 
     private static final int BLOCK_BYTES = 16 * 1024;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final int BACKLOG = 512;
 
+    /** The smallest queue; the kernel drops the opening packets of further connections. */
+    private static final int FULL_BACKLOG = 1;
+
+    private static final int FILLER_TIMEOUT_MILLIS = 50;
+    private static final long REBIND_TIMEOUT_NANOS = 2_000_000_000L;
+    private static final long REBIND_PAUSE_NANOS = 1_000_000L;
+
     private final Address target;
-    private final ServerSocket listener;
+    private final int port;
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
+
+    /** Connections that fill the queue of the listener while new ones hang. */
+    private final List<Socket> fillers = new ArrayList<>();
+
+    private ServerSocket listener;
+    private boolean closed;
     private volatile Condition condition = new Condition.Clear();
     private volatile long lastRefusalNanos = Long.MIN_VALUE;
 
     /** Starts a proxy at a free port of the loopback interface. */
     public LoopbackProxy(Address target) throws IOException {
         this.target = target;
-        listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
-        Thread.ofVirtual().start(this::accept);
+        listener = listen(0, BACKLOG);
+        port = listener.getLocalPort();
+        startAccepting();
+    }
+
+    private static ServerSocket listen(int port, int backlog) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), backlog);
+        return socket;
     }
 
     /** Returns the address at which the proxy accepts connections. */
     public Address address() {
-        return new Address("127.0.0.1", listener.getLocalPort());
+        return new Address("127.0.0.1", port);
     }
 
     /** Returns whether the target has refused a connection since a time. */
@@ -70,11 +108,83 @@
         return lastRefusalNanos >= nanos;
     }
 
-    /** Sets what happens to open and new connections. */
-    public void set(Condition value) {
+    /** Sets what happens to open and new connections; has no effect on a closed proxy. */
+    public synchronized void set(Condition value) throws IOException {
+        if (closed) {
+            return;
+        }
+        boolean listened = isListening(condition);
         condition = value;
-        if (value instanceof Condition.Refusing) {
-            reset();
+        notifyAll();
+        switch (value) {
+            case Condition.Hanging() -> hang();
+            case Condition.Closed(boolean resetsOpen) -> {
+                stopListening();
+                if (resetsOpen) {
+                    reset();
+                }
+            }
+            case Condition.Clear(),
+                    Condition.Refusing(),
+                    Condition.Delayed(long _),
+                    Condition.Silent(boolean _, boolean _) -> {
+                if (!listened) {
+                    stopListening();
+                    listener = listenAgain(BACKLOG);
+                    startAccepting();
+                }
+                if (value instanceof Condition.Refusing) {
+                    reset();
+                }
+            }
+        }
+    }
+
+    private static boolean isListening(Condition condition) {
+        return !(condition instanceof Condition.Hanging || condition instanceof Condition.Closed);
+    }
+
+    private void hang() throws IOException {
+        stopListening();
+        listener = listenAgain(FULL_BACKLOG);
+        boolean full = false;
+        while (!full) {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(new InetSocketAddress("127.0.0.1", port), FILLER_TIMEOUT_MILLIS);
+            } catch (SocketTimeoutException e) {
+                full = true;
+            }
+        }
+    }
+
+    private void stopListening() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        fillers.clear();
+        listener.close();
+    }
+
+    /** Binds the port again; the closed listener holds it until its accepting thread has ended. */
+    private ServerSocket listenAgain(int backlog) throws IOException {
+        long untilNanos = System.nanoTime() + REBIND_TIMEOUT_NANOS;
+        while (true) {
+            try {
+                return listen(port, backlog);
+            } catch (BindException e) {
+                if (System.nanoTime() - untilNanos > 0) {
+                    throw e;
+                }
+                LockSupport.parkNanos(REBIND_PAUSE_NANOS);
+            }
+        }
+    }
+
+    private synchronized void awaitPassing() throws InterruptedException {
+        while (condition instanceof Condition.Hanging && !closed) {
+            wait();
         }
     }
 
@@ -84,15 +194,22 @@
     }
 
     @Override
-    public void close() throws IOException {
-        listener.close();
+    public synchronized void close() throws IOException {
+        closed = true;
+        notifyAll();
+        stopListening();
         reset();
     }
 
-    private void accept() {
-        while (!listener.isClosed()) {
+    private void startAccepting() {
+        ServerSocket current = listener;
+        Thread.ofVirtual().start(() -> accept(current));
+    }
+
+    private void accept(ServerSocket current) {
+        while (!current.isClosed()) {
             try {
-                Socket client = listener.accept();
+                Socket client = current.accept();
                 Thread.ofVirtual().start(() -> new Link(client).open());
             } catch (IOException e) {
                 // The listener was closed; the loop ends.
@@ -146,10 +263,12 @@
                 InputStream input = from.getInputStream();
                 OutputStream output = to.getOutputStream();
                 for (int length = input.read(block); length >= 0; length = input.read(block)) {
+                    awaitPassing();
                     if (passes(toServer)) {
                         output.write(block, 0, length);
                     }
                 }
+                awaitPassing();
                 if (passes(toServer)) {
                     to.shutdownOutput();
                 }
@@ -158,7 +277,7 @@
                     from.close();
                     to.close();
                 }
-            } catch (IOException e) {
+            } catch (IOException | InterruptedException e) {
                 reset();
             }
         }
@@ -171,7 +290,10 @@
                     silentToServer |= holdsToServer;
                     silentToClient |= holdsToClient;
                 }
-                case Condition.Clear(), Condition.Refusing() -> {}
+                case Condition.Clear(),
+                        Condition.Refusing(),
+                        Condition.Hanging(),
+                        Condition.Closed(boolean _) -> {}
             }
             return toServer ? !silentToServer : !silentToClient;
         }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
@@ -45,6 +45,7 @@
     private final LoopbackProxy proxy;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private volatile long drainingSinceNanos;
+    private volatile boolean leaving;
 
     /** Starts an endpoint at an address, with a proxy in front of it. */
     public StandInEndpoint(EndpointId id, String softwareVersion, Address address, Ledger ledger)
@@ -80,6 +81,16 @@
         return running.get();
     }
 
+    /** From now on, states in all responses to calls that this endpoint leaves. */
+    public void setLeaving() {
+        leaving = true;
+    }
+
+    /** Returns the endpoint that has set a signature. */
+    static EndpointId endpointOf(String signature) {
+        return new EndpointId(signature.substring(0, signature.lastIndexOf('-')));
+    }
+
     /** Sets when the key-value service has acknowledged that the endpoint is draining or gone. */
     public void setDraining() {
         drainingSinceNanos = System.nanoTime();
@@ -132,6 +143,9 @@
         exchange.getResponseHeaders()
                 .put(NAMES.callId(), call.value())
                 .put(PlatformDocuments.SIGNATURE, signature);
+        if (leaving) {
+            exchange.getResponseHeaders().put(NAMES.leaving(), "1");
+        }
         int events = (int) number(exchange, EVENTS);
         try {
             if (events == 0) {
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fault.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fault.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.daemon.soak.runtime;
 
 import java.util.List;
+import org.tamarackfold.daemon.soak.FaultTimeline;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
 
 /** A fault that is injected from outside of the processes. Pauses are in milliseconds. */
@@ -47,6 +48,19 @@
             boolean resetAtEnd)
             implements Unplanned {}
 
+    /** Entry hosts lose their links to all endpoints, while callers and other hosts reach them. */
+    record CutOff(List<HostProcess> hosts, LoopbackProxy.Condition condition, long pauseMillis)
+            implements Unplanned {}
+
+    /** Returns what this fault excuses. */
+    default FaultTimeline.Kind kind() {
+        return switch (this) {
+            case Planned _ -> FaultTimeline.Kind.PLANNED;
+            case CutOff _ -> FaultTimeline.Kind.CUT;
+            case Unplanned _ -> FaultTimeline.Kind.UNPLANNED;
+        };
+    }
+
     /** Returns the host or connection concerned, for the log and the excuses. */
     default String scope() {
         return switch (this) {
@@ -55,8 +69,10 @@
             case NewRelease() -> "release";
             case Replace(Fleet.Slot slot, var _, var _) -> slot.endpoint.id().value();
             case Kill(List<HostProcess> hosts, var _) ->
-                    hosts.size() == 1 ? hosts.getFirst().id().value() : "all hosts";
+                    hosts.size() == 1 ? hosts.getFirst().id().value() : FaultTimeline.ALL_HOSTS;
             case Freeze(HostProcess host, var _) -> host.id().value();
+            case CutOff(List<HostProcess> hosts, var condition, var _) ->
+                    hosts.stream().map(HostProcess::id).toList() + " and endpoints " + condition;
             case Disconnect fault -> fault.peers() + " " + fault.condition();
         };
     }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultInjector.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultInjector.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
+import java.util.stream.Collectors;
 import org.tamarackfold.daemon.soak.FaultTimeline;
 import org.tamarackfold.daemon.soak.Ledger;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
@@ -78,6 +79,7 @@
                     slot.reservation.release();
                 }
             }
+            case Fault.CutOff cut -> reserved(fault, cut.hosts(), free -> cutOff(free, cut));
             case Fault.Disconnect disconnect -> timed(fault, () -> disconnect(disconnect));
         }
     }
@@ -103,7 +105,7 @@
 
     private void timed(Fault fault, Action action) throws IOException, InterruptedException {
         String text = fault.getClass().getSimpleName() + " " + fault.scope();
-        FaultTimeline.Entry entry = timeline.begin(fault.scope(), fault instanceof Fault.Planned);
+        FaultTimeline.Entry entry = timeline.begin(fault.scope(), fault.kind());
         print("fault", text);
         action.run();
         entry.end();
@@ -148,6 +150,7 @@
     private void replace(Fleet.Slot slot, boolean reported, String version)
             throws IOException, InterruptedException {
         StandInEndpoint leaving = slot.endpoint;
+        leaving.setLeaving();
         if (reported) {
             fleet.register(slot, true);
         } else {
@@ -163,10 +166,29 @@
         leaving.close();
     }
 
-    private static void disconnect(Fault.Disconnect fault) throws InterruptedException {
-        fault.proxies().forEach(proxy -> proxy.set(fault.condition()));
+    private void cutOff(List<HostProcess> hosts, Fault.CutOff fault)
+            throws IOException, InterruptedException {
+        long startNanos = System.nanoTime();
+        for (HostProcess host : hosts) {
+            fleet.links.get(host.id()).set(fault.condition());
+        }
         Thread.sleep(fault.pauseMillis());
-        fault.proxies().forEach(proxy -> proxy.set(new LoopbackProxy.Condition.Clear()));
+        ledger.checkContact(
+                hosts.stream().map(HostProcess::id).collect(Collectors.toSet()), startNanos);
+        for (HostProcess host : hosts) {
+            fleet.links.get(host.id()).set(new LoopbackProxy.Condition.Clear());
+        }
+    }
+
+    private static void disconnect(Fault.Disconnect fault)
+            throws IOException, InterruptedException {
+        for (LoopbackProxy proxy : fault.proxies()) {
+            proxy.set(fault.condition());
+        }
+        Thread.sleep(fault.pauseMillis());
+        for (LoopbackProxy proxy : fault.proxies()) {
+            proxy.set(new LoopbackProxy.Condition.Clear());
+        }
         if (fault.resetAtEnd()) {
             fault.proxies().forEach(LoopbackProxy::reset);
         }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -1,5 +1,7 @@
 package org.tamarackfold.daemon.soak.runtime;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
@@ -15,14 +17,20 @@
                     new Condition.Silent(true, false),
                     new Condition.Silent(false, true));
 
+    private static final List<Condition> CUTS =
+            List.of(
+                    new Condition.Hanging(),
+                    new Condition.Closed(true),
+                    new Condition.Closed(false));
+
     private final Fleet fleet;
     private final Random random;
-    private final boolean versions;
+    private final SoakOptions.FaultSelection faults;
 
-    FaultPlan(Fleet fleet, Random random, boolean versions) {
+    FaultPlan(Fleet fleet, Random random, SoakOptions.FaultSelection faults) {
         this.fleet = fleet;
         this.random = random;
-        this.versions = versions;
+        this.faults = faults;
     }
 
     /** Returns the pause before the next fault, in milliseconds; short ones make faults overlap. */
@@ -40,13 +48,19 @@
                     new Fault.Replace(
                             pick(fleet.slots),
                             random.nextInt(4) > 0,
-                            versions && random.nextBoolean() ? "2" : "1");
+                            faults == SoakOptions.FaultSelection.VERSIONS && random.nextBoolean()
+                                    ? "2"
+                                    : "1");
         };
     }
 
     Fault nextUnplanned() {
         long pauseMillis = 200 + random.nextInt(3_000);
-        return switch (random.nextInt(12)) {
+        if (faults == SoakOptions.FaultSelection.CUTS) {
+            return random.nextInt(3) > 0 ? cutOff() : nextPlanned();
+        }
+        return switch (random.nextInt(13)) {
+            case 12 -> cutOff();
             case 0 -> new Fault.Kill(List.of(host(true)), pauseMillis);
             case 1 -> new Fault.Kill(List.of(host(false)), pauseMillis);
             case 2 -> new Fault.Freeze(pick(fleet.hosts), pauseMillis);
@@ -67,6 +81,16 @@
         };
     }
 
+    /** Cuts off some entry hosts, not all of them, briefly or for seconds. */
+    private Fault cutOff() {
+        List<HostProcess> entries =
+                new ArrayList<>(fleet.hosts.stream().filter(HostProcess::isEntry).toList());
+        Collections.shuffle(entries, random);
+        int count = 1 + random.nextInt(Math.max(1, entries.size() - 1));
+        long pauseMillis = random.nextBoolean() ? 7_000 : 200 + random.nextInt(2_000);
+        return new Fault.CutOff(List.copyOf(entries.subList(0, count)), pick(CUTS), pauseMillis);
+    }
+
     private Fault disconnect(String peers, List<LoopbackProxy> proxies, long pauseMillis) {
         return new Fault.Disconnect(
                 peers, proxies, pick(CONDITIONS), pauseMillis, random.nextBoolean());
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -9,7 +9,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.daemon.soak.CallKind;
@@ -79,6 +81,11 @@
 
     final List<LoopbackProxy> keyValueProxies = new ArrayList<>();
     final List<HostProcess> hosts = new ArrayList<>();
+
+    /** The links of each entry host to endpoints. */
+    final Map<HostId, HostLinks> links = new HashMap<>();
+
+    private final List<KeyValueServer> keyValueViews = new ArrayList<>();
     final List<Slot> slots = new ArrayList<>();
     final List<EntryHost> entryHosts = new ArrayList<>();
 
@@ -172,7 +179,7 @@
     }
 
     private void addHost(HostId id, boolean entry) throws IOException {
-        LoopbackProxy keyValueProxy = new LoopbackProxy(keyValueAddress);
+        LoopbackProxy keyValueProxy = new LoopbackProxy(entry ? startView(id) : keyValueAddress);
         keyValueProxies.add(keyValueProxy);
         String listeners = "";
         String storage = "";
@@ -221,6 +228,15 @@
         hosts.add(new HostProcess(id, settings, entry, ledger));
     }
 
+    /** Serves the key-value service to an entry host, with endpoints at links of its own. */
+    private Address startView(HostId id) {
+        HostLinks view = new HostLinks(keyValue);
+        links.put(id, view);
+        Address address = freeAddress();
+        keyValueViews.add(new KeyValueServer(view, address));
+        return address;
+    }
+
     /** Returns an address that no process listens at. */
     private synchronized Address freeAddress() {
         while (true) {
@@ -244,6 +260,10 @@
         for (Slot slot : slots) {
             slot.endpoint.close();
         }
+        for (HostLinks view : links.values()) {
+            view.close();
+        }
+        keyValueViews.forEach(KeyValueServer::close);
         keyValueServer.close();
     }
 }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
@@ -29,6 +29,8 @@
         /** Planned work and unplanned faults by turns. */
         ALL,
         /** As {@link #ALL}, with endpoints of two software versions. */
-        VERSIONS
+        VERSIONS,
+        /** Entry hosts that are cut off from all endpoints, beside planned work. */
+        CUTS
     }
 }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
@@ -62,7 +62,7 @@
     private void run() throws IOException, InterruptedException, ExecutionException {
         try (Fleet fleet = new Fleet(options, ledger);
                 FaultInjector injector = new FaultInjector(fleet, timeline, ledger, out)) {
-            FaultTimeline.Entry start = timeline.begin("start", false);
+            FaultTimeline.Entry start = timeline.begin("start", FaultTimeline.Kind.UNPLANNED);
             startCallers(fleet);
             awaitService();
             start.end();
@@ -110,12 +110,12 @@
     private void runEpisodes(Fleet fleet, FaultInjector injector)
             throws InterruptedException, ExecutionException {
         SoakOptions.FaultSelection faults = options.faults();
-        boolean versions = faults == SoakOptions.FaultSelection.VERSIONS;
-        FaultPlan plan = new FaultPlan(fleet, new Random(options.seed()), versions);
+        FaultPlan plan = new FaultPlan(fleet, new Random(options.seed()), faults);
         long endNanos = System.nanoTime() + options.duration().toNanos();
         while (System.nanoTime() - endNanos < 0) {
             Thread.sleep(FaultTimeline.CONTACT_NANOS / 1_000_000);
-            if (faults != SoakOptions.FaultSelection.UNPLANNED) {
+            if (faults != SoakOptions.FaultSelection.UNPLANNED
+                    && faults != SoakOptions.FaultSelection.CUTS) {
                 episode(plan, injector, plan::nextPlanned, min(PLANNED_EPISODE, endNanos));
             }
             if (faults != SoakOptions.FaultSelection.PLANNED) {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
@@ -49,4 +49,13 @@
             checkSeed(5, Duration.ofSeconds(8), FaultSelection.UNPLANNED);
         }
     }
+
+    /** Entry hosts that are cut off from all endpoints. */
+    public static final class CutOffHosts {
+        /** Guards against callers that are served worse by hosts which reach no endpoint. */
+        @Test
+        public void callersAreServedAsElsewhere() throws Exception {
+            checkSeed(3, Duration.ofSeconds(12), FaultSelection.CUTS);
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -13,6 +13,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
@@ -85,7 +87,7 @@
 
     /** One entry host with its links. */
     private record Member(
-            HostSettings settings, EntryNode node, Map<Address, EndpointLink> links) {}
+            HostSettings settings, EntryNode node, Map<Address, LoopbackProxy> links) {}
 
     /** The result of a call: the status, 0 without a response, and the body. */
     record Result(String callId, int status, String body, long millis) {
@@ -133,20 +135,20 @@
     }
 
     /** Starts a host whose links to all endpoints are cut already; returns its index. */
-    int startCutHost(EndpointLink.Cut cut) throws Exception {
-        Map<Address, EndpointLink> links = new HashMap<>();
+    int startCutHost(Condition cut) throws Exception {
+        Map<Address, LoopbackProxy> links = new HashMap<>();
         for (TimedEndpoint endpoint : endpoints) {
-            EndpointLink link = new EndpointLink(endpoint.address());
-            link.cut(cut);
+            LoopbackProxy link = new LoopbackProxy(endpoint.address());
+            link.set(cut);
             links.put(endpoint.address(), link);
         }
         return startHost(links);
     }
 
-    private int startHost(Map<Address, EndpointLink> links) throws Exception {
+    private int startHost(Map<Address, LoopbackProxy> links) throws Exception {
         for (TimedEndpoint endpoint : endpoints) {
             if (!links.containsKey(endpoint.address())) {
-                links.put(endpoint.address(), new EndpointLink(endpoint.address()));
+                links.put(endpoint.address(), new LoopbackProxy(endpoint.address()));
             }
         }
         HostSettings settings = settings("entry-" + members.size());
@@ -195,30 +197,30 @@
     }
 
     /** Cuts the links of a host to all endpoints. */
-    void cut(int host, EndpointLink.Cut how) throws IOException {
-        for (EndpointLink link : members.get(host).links().values()) {
-            link.cut(how);
+    void cut(int host, Condition how) throws IOException {
+        for (LoopbackProxy link : members.get(host).links().values()) {
+            link.set(how);
         }
     }
 
     /** Cuts the links of a host to the endpoints of one service. */
-    void cutService(int host, String service, EndpointLink.Cut how) throws IOException {
-        for (Map.Entry<Address, EndpointLink> entry : members.get(host).links().entrySet()) {
+    void cutService(int host, String service, Condition how) throws IOException {
+        for (Map.Entry<Address, LoopbackProxy> entry : members.get(host).links().entrySet()) {
             if (serviceByEndpoint.get(entry.getKey()).value().equals(service)) {
-                entry.getValue().cut(how);
+                entry.getValue().set(how);
             }
         }
     }
 
     /** Cuts the link of a host to one endpoint. */
-    void cutEndpoint(int host, int endpoint, EndpointLink.Cut how) throws IOException {
-        members.get(host).links().get(endpoints.get(endpoint).address()).cut(how);
+    void cutEndpoint(int host, int endpoint, Condition how) throws IOException {
+        members.get(host).links().get(endpoints.get(endpoint).address()).set(how);
     }
 
     /** Ends the cut of all links of a host. */
     void restore(int host) throws IOException {
-        for (EndpointLink link : members.get(host).links().values()) {
-            link.restore();
+        for (LoopbackProxy link : members.get(host).links().values()) {
+            link.set(new Condition.Clear());
         }
     }
 
@@ -308,7 +310,7 @@
             Thread.ofVirtual().start(member.node()::stop);
         }
         for (Member member : members) {
-            for (EndpointLink link : member.links().values()) {
+            for (LoopbackProxy link : member.links().values()) {
                 link.close();
             }
         }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -21,6 +22,11 @@
     /** Time after a cut from which its calls must be served like those of other hosts. */
     private static final int CONTACT_MILLIS = 3_000;
 
+    private static final Condition SILENT = new Condition.Hanging();
+    private static final Condition RESET = new Condition.Closed(true);
+    private static final Condition NEW_REFUSED = new Condition.Closed(false);
+    private static final List<Condition> CUTS = List.of(SILENT, RESET, NEW_REFUSED);
+
     /** Two hosts; the links of the first one are cut by the test. */
     abstract static class Fixture {
         static final int CUT_HOST = 0;
@@ -90,28 +96,28 @@
         /** Guards against calls that fail at a host whose links to all endpoints are silent. */
         @Test
         public void callsAreServedWhileLinksAreSilent() throws Exception {
-            hosts.cut(CUT_HOST, EndpointLink.Cut.SILENT);
+            hosts.cut(CUT_HOST, SILENT);
             assertServedOnceDetected("/submit/");
         }
 
         /** Guards against calls that fail at a host whose connections to endpoints are reset. */
         @Test
         public void callsAreServedWhileLinksAreReset() throws Exception {
-            hosts.cut(CUT_HOST, EndpointLink.Cut.RESET);
+            hosts.cut(CUT_HOST, RESET);
             assertServedOnceDetected("/submit/");
         }
 
         /** Guards against calls that fail because only open connections to endpoints still work. */
         @Test
         public void callsAreServedWhileNewConnectionsAreRefused() throws Exception {
-            hosts.cut(CUT_HOST, EndpointLink.Cut.NEW_REFUSED);
+            hosts.cut(CUT_HOST, NEW_REFUSED);
             assertServedOnceDetected("/submit/");
         }
 
         /** Guards against a host that is cut off before its first call and never finds out. */
         @Test
         public void callsAreServedByHostThatStartsCutOff() throws Exception {
-            int host = hosts.startCutHost(EndpointLink.Cut.SILENT);
+            int host = hosts.startCutHost(SILENT);
             Thread.sleep(CONTACT_MILLIS);
             LinkedHosts.Result result = hosts.call(host, "/submit/", "first", 2_000, 20);
             assertTrue(result.isServed(), result.toString());
@@ -123,14 +129,14 @@
         /** Guards against a host that loses one service and fails its calls. */
         @Test
         public void callsOfTheLostServiceAreServed() throws Exception {
-            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, EndpointLink.Cut.SILENT);
+            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, SILENT);
             assertServedOnceDetected("/submit/");
         }
 
         /** Guards against the loss of one service that disturbs the calls of another. */
         @Test
         public void callsOfTheOtherServiceAreServedThroughout() throws Exception {
-            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, EndpointLink.Cut.SILENT);
+            hosts.cutService(CUT_HOST, LinkedHosts.LEDGER, SILENT);
             hosts.call(CUT_HOST, "/read/", "first", 1_500, 0);
             for (LinkedHosts.Result result : callSteadily("/archive/", "other", 20)) {
                 assertTrue(result.isServed(), result.toString());
@@ -140,8 +146,8 @@
         /** Guards against calls that fail again and again at the endpoints out of reach. */
         @Test
         public void callsAreServedWhileTwoOfThreeEndpointsAreOutOfReach() throws Exception {
-            hosts.cutEndpoint(CUT_HOST, 0, EndpointLink.Cut.SILENT);
-            hosts.cutEndpoint(CUT_HOST, 1, EndpointLink.Cut.RESET);
+            hosts.cutEndpoint(CUT_HOST, 0, SILENT);
+            hosts.cutEndpoint(CUT_HOST, 1, RESET);
             assertServedOnceDetected("/submit/");
         }
     }
@@ -151,7 +157,7 @@
         /** Guards against a host that goes on to depend on others when its links are back. */
         @Test
         public void callsAreSentDirectlyAgain() throws Exception {
-            hosts.cut(CUT_HOST, EndpointLink.Cut.SILENT);
+            hosts.cut(CUT_HOST, SILENT);
             callSteadily("/submit/", "cut", 30);
             hosts.restore(CUT_HOST);
             Thread.sleep(1_500);
@@ -165,7 +171,7 @@
         @Test
         public void directoryNamesTheHostAgain() throws Exception {
             String address = hosts.callerAddress(CUT_HOST).toString();
-            hosts.cut(CUT_HOST, EndpointLink.Cut.RESET);
+            hosts.cut(CUT_HOST, RESET);
             callSteadily("/read/", "cut", 20);
             Thread.sleep(500);
             assertFalse(hosts.directory(1).contains(address), hosts.directory(1));
@@ -179,7 +185,7 @@
         public void callsRunAtMostOnceInCutsThatFollowEachOther() throws Exception {
             List<LinkedHosts.Result> results = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
-                hosts.cut(CUT_HOST, EndpointLink.Cut.values()[i % 3]);
+                hosts.cut(CUT_HOST, CUTS.get(i % CUTS.size()));
                 results.addAll(callSteadily("/submit/", "cut" + i, 15));
                 hosts.restore(CUT_HOST);
                 results.addAll(callSteadily("/submit/", "clear" + i, 10));
@@ -198,7 +204,7 @@
         /** Cuts a host off and waits until it knows. */
         @BeforeMethod(dependsOnMethods = "start")
         public void cut() throws Exception {
-            hosts.cut(CUT_HOST, EndpointLink.Cut.RESET);
+            hosts.cut(CUT_HOST, RESET);
             callSteadily("/read/", "detect", 12);
         }
 
@@ -261,7 +267,7 @@
         @BeforeMethod(dependsOnMethods = "start")
         public void cut() throws Exception {
             hosts.startHost();
-            hosts.cut(CUT_HOST, EndpointLink.Cut.SILENT);
+            hosts.cut(CUT_HOST, SILENT);
             callSteadily("/read/", "detect", 30);
         }
 
@@ -278,15 +284,15 @@
         /** Guards against calls that fail because the host that forwarded them is cut off, too. */
         @Test
         public void callsAreServedWhenAForwardingHostIsCutOff() throws Exception {
-            hosts.cut(1, EndpointLink.Cut.SILENT);
+            hosts.cut(1, SILENT);
             assertServedOnceDetected("/submit/");
         }
 
         /** Guards against calls that go round, or are held, when no host reaches an endpoint. */
         @Test
         public void callsAreRefusedAtOnceWhenAllHostsAreCutOff() throws Exception {
-            hosts.cut(1, EndpointLink.Cut.SILENT);
-            hosts.cut(OTHER_HOST, EndpointLink.Cut.SILENT);
+            hosts.cut(1, SILENT);
+            hosts.cut(OTHER_HOST, SILENT);
             callSteadily("/submit/", "detect-all", 60);
             callAt(1, "detect-1");
             callAt(OTHER_HOST, "detect-2");
