Test that no host calls an endpoint that said through another host that it leaves

Checked: LeavingEndpoints.noCallFollowsItsStatement passes: 30 calls each by the host that is cut off, by the host that forwards, and after the end of the cut reach the endpoint once in all, while its registration says that it is ready.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/TimedEndpoint.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/TimedEndpoint.java
@@ -21,6 +21,7 @@
     static final int EVENT_INTERVAL_MILLIS = 50;
 
     private final ServerSocket server;
+    private volatile boolean leaving;
     private final Map<String, Integer> received = new ConcurrentHashMap<>();
     private final Map<String, Integer> remainingMillis = new ConcurrentHashMap<>();
     private final Set<String> abandoned = ConcurrentHashMap.newKeySet();
@@ -34,6 +35,16 @@
         return new Address("127.0.0.1", server.getLocalPort());
     }
 
+    /** From now on, states in all responses that this endpoint leaves. */
+    void setLeaving() {
+        leaving = true;
+    }
+
+    /** Returns how many calls were received. */
+    int receivedCount() {
+        return received.size();
+    }
+
     /** Returns how often the call with this id was received. */
     int timesReceived(String callId) {
         return received.getOrDefault(callId, 0);
@@ -82,7 +93,10 @@
         received.merge(callId, 1, Integer::sum);
         remainingMillis.put(callId, Integer.parseInt(header(head, "call-deadline-ms")));
         boolean stream = head.contains(" /stream/");
-        String start = "HTTP/1.1 200 OK\r\nAnswer-Signature: sig\r\nCall-Id: " + callId + "\r\n";
+        String start =
+                "HTTP/1.1 200 OK\r\nAnswer-Signature: sig\r\nCall-Id: "
+                        + callId
+                        + (leaving ? "\r\nEndpoint-Leaving: 1\r\n" : "\r\n");
         OutputStream out = socket.getOutputStream();
         if (!stream) {
             work(socket, callId, workMillis);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
@@ -259,6 +259,38 @@
         }
     }
 
+    /** Endpoints that state that they leave while their links to a host are cut. */
+    public static final class LeavingEndpoints extends Fixture {
+        private static final int LEAVING = 0;
+
+        /**
+         * Guards against calls to an endpoint that has said that it leaves, by a host that had the
+         * response through another one, or by the host that forwarded it.
+         */
+        @Test
+        public void noCallFollowsItsStatement() throws Exception {
+            hosts.cut(CUT_HOST, RESET);
+            callSteadily("/read/", "detect", 12);
+            TimedEndpoint endpoint = hosts.endpoints.get(LEAVING);
+            endpoint.setLeaving();
+            int before = endpoint.receivedCount();
+            for (int i = 0; i < 30; i++) {
+                assertTrue(hosts.call(CUT_HOST, "/submit/", "cut-" + i, 2_000, 0).isServed());
+            }
+            assertEquals(endpoint.receivedCount(), before + 1, "by the host that is cut off");
+            for (int i = 0; i < 30; i++) {
+                assertTrue(hosts.call(1, "/submit/", "forwarding-" + i, 2_000, 0).isServed());
+            }
+            assertEquals(endpoint.receivedCount(), before + 1, "by the host that forwards");
+            hosts.restore(CUT_HOST);
+            Thread.sleep(1_500);
+            for (int i = 0; i < 30; i++) {
+                assertTrue(hosts.call(CUT_HOST, "/submit/", "after-" + i, 2_000, 0).isServed());
+            }
+            assertEquals(endpoint.receivedCount(), before + 1, "after the end of the cut");
+        }
+    }
+
     /** Failures of the host that forwards calls. */
     public static final class ForwardingHostLost extends Fixture {
         private static final int OTHER_HOST = 2;
