Withdraw presumptions when a cut ends instead of testing each endpoint

Change: the first endpoint that can be reached withdraws what was presumed of the others of its service. Those found out of reach by a call are still tested.

Checked: ReachabilityMonitorTest.endOfACutNeedsFewConnections (at most 6 for 9 endpoints); UnreachableEndpointsTest of partial and ended cuts.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
@@ -225,6 +225,20 @@
             assertEquals(reports, List.of(false, true));
         }
 
+        /** Guards against a connection to each endpoint by each host when a cut ends. */
+        @Test
+        public void endOfACutNeedsFewConnections() {
+            cutAll("models", 6);
+            cutAll("ledger", 3);
+            monitor.check(record("models", 0));
+            advance(5_000);
+            cut.clear();
+            int before = opened.size();
+            advance(1_300);
+            assertEquals(monitor.unreachableCount(), 0);
+            assertTrue(opened.size() - before <= 6, "" + (opened.size() - before));
+        }
+
         /** Guards against endpoints that stay out of reach because others of their service are. */
         @Test
         public void endpointsThatRemainInReachAreFound() {
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
@@ -4,7 +4,9 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.tamarackfold.id.EndpointId;
@@ -50,6 +52,10 @@
 
     private final TableLock lock = new TableLock(LockRank.REACHABILITY);
     private final Map<EndpointId, CompletableFuture<Boolean>> checks = new HashMap<>();
+
+    /** Endpoints that are out of reach by presumption only. */
+    private final Set<EndpointId> presumed = new HashSet<>();
+
     private final EndpointTable table;
     private final EndpointConnections connections;
     private final Scheduler scheduler;
@@ -121,6 +127,7 @@
 
     /** Called when a connection for a call could not be opened. */
     public void onConnectFailed(EndpointRecord endpoint) {
+        lock.run(() -> presumed.remove(endpoint.id()));
         onUnreached(endpoint, scheduler.nanoTime() - RECENT.toNanos(), "connection of a call");
     }
 
@@ -157,12 +164,30 @@
         if (!table.setReachable(endpoint.id(), true)) {
             return;
         }
-        LOG.event("endpoint_reachable").with("endpoint", endpoint.id()).info();
-        // What was presumed of the others is doubtful now; calls must not crowd at this one.
+        lock.run(() -> presumed.remove(endpoint.id()));
+        int withdrawn = withdrawPresumption(endpoint.service());
+        LOG.event("endpoint_reachable")
+                .with("endpoint", endpoint.id())
+                .with("presumptions_withdrawn", withdrawn)
+                .info();
         recheck(endpoint.service());
         report();
     }
 
+    /**
+     * Takes the presumed endpoints of a service for in reach again, without a test of each: calls
+     * must not crowd at the one that was tested, and will find those that are out of reach.
+     */
+    private int withdrawPresumption(ServiceName service) {
+        Vector<EndpointId> ids =
+                available(service)
+                        .filter(observed -> !observed.reachable())
+                        .map(observed -> observed.record().id())
+                        .filter(id -> lock.withLock(() -> presumed.remove(id)));
+        ids.forEach(id -> table.setReachable(id, true));
+        return ids.size();
+    }
+
     private void onUnreached(EndpointRecord endpoint, long sinceNanos, String evidence) {
         if (!table.setReachable(endpoint.id(), false)) {
             return;
@@ -200,6 +225,7 @@
     private void presumeUnreachable(Vector<ObservedEndpoint> service) {
         for (ObservedEndpoint observed : service.filter(ObservedEndpoint::reachable)) {
             if (table.setReachable(observed.record().id(), false)) {
+                lock.run(() -> presumed.add(observed.record().id()));
                 connections.closeIdle(observed.record());
                 LOG.event("endpoint_unreachable")
                         .with("endpoint", observed.record().id())
@@ -266,6 +292,8 @@
         Vector<ObservedEndpoint> unreachable =
                 table.available(scheduler.nanoTime()).filter(observed -> !observed.reachable());
         if (unreachable.isEmpty()) {
+            // Those left have been removed while they were out of reach.
+            lock.run(presumed::clear);
             return;
         }
         scheduleRecheck();
