--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -121,6 +121,10 @@
         reachable = value;
     }
 
+    ObservedEndpoint observed() {
+        return new ObservedEndpoint(record, reachable, heardAtNanos);
+    }
+
     /** Returns the number of consecutive failures, including this one. */
     int recordFailure() {
         return ++consecutiveFailures;
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -328,17 +328,16 @@
                 () ->
                         Vector.ofAll(states.values())
                                 .filter(state -> !isDrainingOrLeaving(state.record(), nowNanos))
-                                .map(
-                                        state ->
-                                                new ObservedEndpoint(
-                                                        state.record(),
-                                                        state.isReachable(),
-                                                        state.heardAtNanos())));
+                                .map(EndpointState::observed));
     }
 
     /** Returns an endpoint that is neither draining nor leaving, if there is one of this id. */
     public Option<ObservedEndpoint> available(EndpointId id, long nowNanos) {
-        return available(nowNanos).find(observed -> observed.record().id().equals(id));
+        return lock.withLock(
+                () ->
+                        Option.of(states.get(id))
+                                .filter(state -> !isDrainingOrLeaving(state.record(), nowNanos))
+                                .map(EndpointState::observed));
     }
 
     /**
