Compare first tries only with hosts that are neither stopped nor cut off

Hosts in a planned stop are excused by the rule, and those that are cut off are not 'the others'.

Change: the check leaves both out. Its bound is unchanged.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/FaultTimeline.java
@@ -84,6 +84,13 @@
                 .anyMatch(entry -> entry.overlaps(fromNanos, toNanos));
     }
 
+    /** Returns whether a host was cut off from endpoints in a period. */
+    boolean wasCutOff(String host, long fromNanos, long toNanos) {
+        return entries.stream()
+                .filter(entry -> entry.kind == Kind.CUT && entry.scope.contains(host))
+                .anyMatch(entry -> entry.overlaps(fromNanos, toNanos));
+    }
+
     /** Returns the start of the planned stop of a scope in force at a time; -1 when none is. */
     long plannedStopAt(String scope, long atNanos) {
         return entries.stream()
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/Ledger.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.HostId;
@@ -222,19 +223,26 @@
 
     /**
      * Checks the first tries at hosts that have been cut off from all endpoints until now, from the
-     * time on by which they must have found out. Not checked beside other unplanned faults.
+     * time on by which they must have found out. Not checked beside other unplanned faults. Hosts
+     * that were stopped meanwhile do not count, nor others that were cut off themselves.
      */
     public synchronized void checkContact(Set<HostId> cutHosts, long cutSinceNanos) {
         long fromNanos = cutSinceNanos + FaultTimeline.CONTACT_NANOS;
         if (faults.hasOtherThanCuts(fromNanos, System.nanoTime())) {
             return;
         }
+        long nowNanos = System.nanoTime();
+        Predicate<HostId> counts =
+                host ->
+                        !faults.wasInterrupted(host.value(), cutSinceNanos, nowNanos)
+                                && (cutHosts.contains(host)
+                                        || !faults.wasCutOff(
+                                                host.value(), cutSinceNanos, nowNanos));
         ContactCheck check = new ContactCheck(cutHosts);
         attempts.forEach(
                 (id, attempt) -> {
-                    if (attempt.firstTry
-                            && attempt.sentNanos > fromNanos
-                            && attempt.outcome != null) {
+                    boolean ended = attempt.sentNanos > fromNanos && attempt.outcome != null;
+                    if (attempt.firstTry && ended && counts.test(attempt.host)) {
                         check.add(attempt.host, attempt.outcome instanceof Outcome.Served);
                     }
                 });
