Move the report of contact out of ReachabilityMonitor

The monitor found out what is in reach and paced the reports of it. ContactReporter does the second.

--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
@@ -47,9 +47,6 @@
     /** Delay before a host that has just started looks for endpoints to check again. */
     private static final Duration START_RETRY_DELAY = Duration.ofSeconds(1);
 
-    /** Shortest time between two reports, which are written to the key-value service. */
-    private static final Duration MINIMUM_REPORT_INTERVAL = Duration.ofSeconds(1);
-
     private final TableLock lock = new TableLock(LockRank.REACHABILITY);
     private final Map<EndpointId, CompletableFuture<Boolean>> checks = new HashMap<>();
 
@@ -60,20 +57,8 @@
     private final EndpointConnections connections;
     private final Scheduler scheduler;
     private final RandomGenerator random;
-    private final Listener listener;
+    private final ContactReporter contact;
     private boolean recheckScheduled;
-    private boolean reportScheduled;
-    private boolean reportedContact = true;
-
-    /** Receives whether this host reaches any endpoint. */
-    public interface Listener {
-        /**
-         * Called when that has changed, at most once a second; calls are ordered.
-         *
-         * @param reachesEndpoints false while no endpoint of any service is in reach
-         */
-        void onContactChanged(boolean reachesEndpoints);
-    }
 
     /** Creates a monitor that records what it finds in the given table. */
     public ReachabilityMonitor(
@@ -81,12 +66,12 @@
             EndpointConnections connections,
             Scheduler scheduler,
             RandomGenerator random,
-            Listener listener) {
+            ContactListener listener) {
         this.table = table;
         this.connections = connections;
         this.scheduler = scheduler;
         this.random = random;
-        this.listener = listener;
+        this.contact = new ContactReporter(this::reachesEndpoints, listener, scheduler);
     }
 
     /** Checks each service once there are endpoints: a host may be cut off from its start on. */
@@ -171,7 +156,7 @@
                 .with("presumptions_withdrawn", withdrawn)
                 .info();
         recheck(endpoint.service());
-        report();
+        contact.report();
     }
 
     /**
@@ -206,7 +191,7 @@
         } else {
             checkAnother(endpoint, scheduler.nanoTime());
         }
-        report();
+        contact.report();
     }
 
     private Vector<ObservedEndpoint> available(ServiceName service) {
@@ -288,7 +273,7 @@
 
     private void recheckAll() {
         lock.run(() -> recheckScheduled = false);
-        report();
+        contact.report();
         Vector<ObservedEndpoint> unreachable =
                 table.available(scheduler.nanoTime()).filter(observed -> !observed.reachable());
         if (unreachable.isEmpty()) {
@@ -322,28 +307,4 @@
         Vector<ObservedEndpoint> available = table.available(scheduler.nanoTime());
         return available.isEmpty() || available.exists(ObservedEndpoint::reachable);
     }
-
-    /** Reports a change at once, and the state after that once the interval has passed. */
-    private void report() {
-        boolean contact = reachesEndpoints();
-        boolean mustReport =
-                lock.withLock(
-                        () -> {
-                            boolean changed = !reportScheduled && reportedContact != contact;
-                            reportScheduled |= changed;
-                            reportedContact = changed ? contact : reportedContact;
-                            return changed;
-                        });
-        if (!mustReport) {
-            return;
-        }
-        LOG.event(contact ? "endpoints_regained" : "endpoints_lost").warn();
-        listener.onContactChanged(contact);
-        scheduler.after(
-                MINIMUM_REPORT_INTERVAL,
-                () -> {
-                    lock.run(() -> reportScheduled = false);
-                    report();
-                });
-    }
 }
