Test the path to a slow endpoint once a second at most

Cause: every attempt without a response for 500 ms had connections tested, to its endpoint and to another one.

Change: a test connection proves the path for a second, and no further endpoint of the service is tested while another one is proven or being tested.

The three silent, reset and refusing cuts of UnreachableEndpointsTest pass.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
@@ -137,6 +137,17 @@
             assertEquals(opened.size(), 0);
         }
 
+        /** Guards against a connection for each check of endpoints that are slow for long. */
+        @Test
+        public void slowEndpointsAreTestedOnceASecond() {
+            for (int i = 0; i < 20; i++) {
+                monitor.check(record("models", 0));
+                monitor.check(record("models", 1));
+                advance(250);
+            }
+            assertTrue(opened.size() <= 2 * 5 + 2, opened.size() + " connections in 5 s");
+        }
+
         /** Guards against one dead endpoint that takes its whole service out of reach. */
         @Test
         public void deadEndpointAloneIsOutOfReach() {
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointState.java
@@ -16,6 +16,7 @@
     private long backoffEndNanos;
     private boolean backoffActive;
     private Option<Long> heardAtNanos = Option.none();
+    private Option<Long> connectedAtNanos = Option.none();
     private boolean reachable = true;
     private Option<StatedRateLimit> rateLimit = Option.none();
 
@@ -121,8 +122,13 @@
         reachable = value;
     }
 
+    /** Records that a test connection to the endpoint was opened. */
+    void recordConnected(long nowNanos) {
+        connectedAtNanos = Option.some(nowNanos);
+    }
+
     ObservedEndpoint observed() {
-        return new ObservedEndpoint(record, reachable, heardAtNanos);
+        return new ObservedEndpoint(record, reachable, heardAtNanos, connectedAtNanos);
     }
 
     /** Returns the number of consecutive failures, including this one. */
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -302,6 +302,11 @@
         lock.run(() -> Option.of(states.get(id)).forEach(state -> state.recordHeard(nowNanos)));
     }
 
+    /** Records that this host has opened a test connection to an endpoint. */
+    public void recordConnected(EndpointId id, long nowNanos) {
+        lock.run(() -> Option.of(states.get(id)).forEach(state -> state.recordConnected(nowNanos)));
+    }
+
     /** Returns the time since bytes of an endpoint arrived last; none if none ever did. */
     public Option<Duration> timeSinceHeard(EndpointId id, long nowNanos) {
         return lock.withLock(
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
@@ -29,6 +29,12 @@
     /** Bytes of an endpoint that are not older prove the path to it. */
     private static final Duration RECENT = Duration.ofMillis(400);
 
+    /**
+     * A test connection that is not older proves the path as well. Longer, because each test costs
+     * the endpoint a connection, and many calls may be slow at the same time.
+     */
+    private static final Duration TEST_VALIDITY = Duration.ofSeconds(1);
+
     /** Interval at which connections to endpoints that are out of reach are tried again. */
     private static final Duration RECHECK_INTERVAL = Duration.ofMillis(500);
 
@@ -98,7 +104,7 @@
         if (observed.exists(known -> !known.reachable())) {
             return CompletableFuture.completedFuture(false);
         }
-        if (observed.exists(known -> isHeardLately(known, nowNanos))) {
+        if (observed.exists(known -> isProven(known, nowNanos))) {
             return CompletableFuture.completedFuture(true);
         }
         CompletableFuture<Boolean> result = test(endpoint);
@@ -106,8 +112,9 @@
         return result;
     }
 
-    private static boolean isHeardLately(ObservedEndpoint observed, long nowNanos) {
-        return observed.isHeardSince(nowNanos - RECENT.toNanos());
+    private static boolean isProven(ObservedEndpoint observed, long nowNanos) {
+        return observed.isHeardSince(nowNanos - RECENT.toNanos())
+                || observed.isConnectedSince(nowNanos - TEST_VALIDITY.toNanos());
     }
 
     /** Called when a connection for a call could not be opened. */
@@ -145,7 +152,7 @@
     }
 
     private void onReached(EndpointRecord endpoint) {
-        table.recordHeard(endpoint.id(), scheduler.nanoTime());
+        table.recordConnected(endpoint.id(), scheduler.nanoTime());
         if (!table.setReachable(endpoint.id(), true)) {
             return;
         }
@@ -204,7 +211,10 @@
         int unreachable = service.count(observed -> !observed.reachable());
         return unreachable >= Math.min(MINIMUM_EVIDENCE, service.size())
                 && !service.exists(
-                        observed -> observed.reachable() && observed.isHeardSince(sinceNanos));
+                        observed ->
+                                observed.reachable()
+                                        && (observed.isHeardSince(sinceNanos)
+                                                || observed.isConnectedSince(sinceNanos)));
     }
 
     private void presumeUnreachable(Vector<ObservedEndpoint> service) {
@@ -221,20 +231,23 @@
         }
     }
 
-    /** Checks another endpoint of the service, of another zone if possible, unless it is heard. */
+    /**
+     * Checks another endpoint of the service, of another zone if possible, unless one is proven.
+     */
     private void checkAnother(EndpointRecord endpoint, long nowNanos) {
         Vector<EndpointRecord> others =
                 available(endpoint.service())
                         .filter(ObservedEndpoint::reachable)
                         .map(ObservedEndpoint::record)
                         .filter(other -> !other.id().equals(endpoint.id()));
-        boolean anyHeard =
+        boolean anyKnown =
                 available(endpoint.service())
+                        .filter(observed -> !observed.record().id().equals(endpoint.id()))
                         .exists(
                                 observed ->
-                                        !observed.record().id().equals(endpoint.id())
-                                                && isHeardLately(observed, nowNanos));
-        if (anyHeard || others.isEmpty()) {
+                                        isProven(observed, nowNanos)
+                                                || isBeingTested(observed.record().id()));
+        if (anyKnown || others.isEmpty()) {
             return;
         }
         Vector<EndpointRecord> elsewhere =
@@ -242,6 +255,10 @@
         test(pick(elsewhere.isEmpty() ? others : elsewhere));
     }
 
+    private boolean isBeingTested(EndpointId id) {
+        return lock.withLock(() -> checks.containsKey(id));
+    }
+
     private <T> T pick(Vector<T> candidates) {
         return candidates.get(random.nextInt(candidates.size()));
     }
