Wait in a test until a leaving endpoint has made its statement

The endpoint was in back-off at the host, up to 3 s after the connections that the test had reset, and received none of the 30 calls that took one second, so that it never stated that it leaves.

Change: calls are made until it has received one, at most 200; none of the 30 that follow may reach it, as before. The later checks are unchanged.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/UnreachableEndpointsTest.java
@@ -274,6 +274,12 @@
             TimedEndpoint endpoint = hosts.endpoints.get(LEAVING);
             endpoint.setLeaving();
             int before = endpoint.receivedCount();
+            // The endpoint may be in back-off for up to 3 s after the connections that failed.
+            for (int i = 0; i < 200 && endpoint.receivedCount() == before; i++) {
+                assertTrue(hosts.call(CUT_HOST, "/submit/", "first-" + i, 2_000, 0).isServed());
+                Thread.sleep(20);
+            }
+            assertEquals(endpoint.receivedCount(), before + 1, "the call that it answers");
             for (int i = 0; i < 30; i++) {
                 assertTrue(hosts.call(CUT_HOST, "/submit/", "cut-" + i, 2_000, 0).isServed());
             }
