Check other services again while a whole service is out of reach

Cause: when a service is lost, one endpoint of each other service is tested, once. A service that was proven less than a second before was skipped and, without calls of its own, counted as in reach from then on: the host stayed in the directory.

Change: each recheck of a service that is wholly out of reach checks the others.

Failed before: ReachabilityMonitorTest.servicesProvenJustBeforeTheCutAreLostAsWell, 'expected [3] but found [1]'.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
@@ -212,6 +212,20 @@
             return result.join();
         }
 
+        /** Guards against a service without calls that counts as in reach for an old proof. */
+        @Test
+        public void servicesProvenJustBeforeTheCutAreLostAsWell() {
+            monitor.start();
+            advance(600);
+            cutAll("models", 6);
+            cutAll("ledger", 3);
+            monitor.onConnectFailed(record("models", 0));
+            monitor.onConnectFailed(record("models", 1));
+            advance(2_500);
+            assertEquals(unreachable("ledger"), 3);
+            assertEquals(reports, List.of(false));
+        }
+
         /** Guards against a host that leaves the directory for the loss of one service. */
         @Test
         public void lossOfOneServiceIsNotReported() {
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/ReachabilityMonitor.java
@@ -302,7 +302,15 @@
         unreachable
                 .groupBy(observed -> observed.record().service())
                 .keySet()
-                .forEach(this::recheck);
+                .forEach(this::recheckWithOthers);
+    }
+
+    /** Other services may have been lost since they were proven, without a call that shows it. */
+    private void recheckWithOthers(ServiceName name) {
+        recheck(name);
+        if (!available(name).exists(ObservedEndpoint::reachable)) {
+            checkOtherServices(name);
+        }
     }
 
     private void recheck(ServiceName name) {
