--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -39,6 +40,7 @@
     static final String ARCHIVE = "archive";
 
     private static final int ENDPOINTS_PER_SERVICE = 3;
+    private static final int MAXIMUM_STARTS = 5;
     private static final int SOCKET_TIMEOUT_MILLIS = 8_000;
 
     private static final String RELEASE =
@@ -151,14 +153,30 @@
                 links.put(endpoint.address(), new LoopbackProxy(endpoint.address()));
             }
         }
-        HostSettings settings = settings("entry-" + members.size());
         StandaloneAdapter adapter =
                 new StandaloneAdapter(keyValue, address -> links.get(address).address());
-        members.add(new Member(settings, EntryNode.start(settings, adapter), links));
+        members.add(startMember(adapter, links));
         Thread.sleep(300);
         return members.size() - 1;
     }
 
+    /**
+     * Starts a host; one of its free ports may be taken by a connection before it listens there.
+     */
+    private Member startMember(StandaloneAdapter adapter, Map<Address, LoopbackProxy> links)
+            throws IOException {
+        BindException last = null;
+        for (int i = 0; i < MAXIMUM_STARTS; i++) {
+            HostSettings settings = settings("entry-" + members.size());
+            try {
+                return new Member(settings, EntryNode.start(settings, adapter), links);
+            } catch (BindException e) {
+                last = e;
+            }
+        }
+        throw last;
+    }
+
     private static HostSettings settings(String name) throws IOException {
         return HostSettings.builder()
                 .role(HostRole.ENTRY)
