Relay a success only with the signature of an endpoint

Cause: the id of the call in a response was only compared to keep late copies apart, and its absence was accepted on a new connection. Nothing asked for a signature. Ruled out: that it needs a new connection. An unsigned success that names the call passed on kept ones, too, and also through a forwarding host.

ResponseVerifier now decides for direct attempts and for heads that another host has forwarded, which may be of an earlier build: a success needs a signature, any other response the id of the call or a signature unless it is a rejection. What fails is an attempt with an unknown outcome: retried where the route allows it, else 502.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
@@ -51,6 +51,7 @@
 
     ScriptedEndpoint endpoint;
     EndpointTable endpointTable;
+    CallDependencies dependencies;
     ForwardHandler handler;
     private IoRuntime runtime;
     private Undertow server;
@@ -77,7 +78,8 @@
         endpointTable.put(registration());
         runtime = IoRuntime.start(1);
         PooledHttpClient client = new PooledHttpClient(runtime, Duration.ofSeconds(4).toNanos());
-        handler = new ForwardHandler(dependencies(client), MAXIMUM_CALLS);
+        dependencies = dependencies(client);
+        handler = new ForwardHandler(dependencies, MAXIMUM_CALLS);
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = socket.getLocalPort();
         }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/RateLimitTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/RateLimitTest.java
@@ -67,7 +67,11 @@
         public void allHostsTogetherKeepTheLimit() throws Exception {
             for (int i = 0; i < 1_000; i++) {
                 endpoint.respond(
-                        "200 OK", "Call-Id: c1\r\nRate-Limit: " + LIMIT_PER_SECOND, "served");
+                        "200 OK",
+                        CallFixture.SIGNATURE
+                                + "\r\nCall-Id: c1\r\nRate-Limit: "
+                                + LIMIT_PER_SECOND,
+                        "served");
             }
             callFor(LEARNING_MILLIS);
             int before = endpoint.received().size();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamResumptionTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamResumptionTest.java
@@ -28,7 +28,7 @@
 
     /** Head after which the connection is not reused, so that responses need no call id. */
     private static final String HEAD =
-            "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+            "HTTP/1.1 200 OK\r\nAnswer-Signature: sig\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     /**
      * Number of programs of a test. Each prefers an endpoint of its own, so that a resumption at
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/FleetAdapterTest.java
@@ -30,6 +30,7 @@
             CallHeaderNames names = ADAPTER.callHeaderNames();
             assertEquals(names.rateLimit().toString(), "Server-Limit");
             assertEquals(names.leaving().toString(), "Server-Leaving");
+            assertEquals(names.signature().toString(), "X-Tamarackfold-Response-Signature");
         }
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallHeaderNames.java
@@ -19,6 +19,8 @@
  * @param promptParts carries the parts of the prompt with their sizes, separated by commas
  * @param affinityKey carries the affinity key, which calls that concern the same object share
  * @param expectedEndpoint carries the id of the only endpoint that may run the call
+ * @param signature set in the responses of endpoints; a success without it comes from something
+ *     else that listens at the address
  * @param notRun set in the response of an endpoint that has not run the call
  * @param rateLimit set in the responses of an endpoint that limits the calls a second that it takes
  *     from all hosts together
@@ -39,6 +41,7 @@
         HttpString promptParts,
         HttpString affinityKey,
         HttpString expectedEndpoint,
+        HttpString signature,
         HttpString notRun,
         HttpString rateLimit,
         HttpString leaving,
@@ -58,6 +61,7 @@
                     new HttpString("Prompt-Parts"),
                     new HttpString("Affinity"),
                     new HttpString("Expected-Endpoint"),
+                    new HttpString("Answer-Signature"),
                     new HttpString("Not-Run"),
                     new HttpString("Rate-Limit"),
                     new HttpString("Endpoint-Leaving"),
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -26,13 +26,12 @@
     /** Connect timeout; an endpoint that is up accepts a connection within a few ms. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-    private static final int MISDIRECTED_STATUS = 421;
-
     private final EndpointRecord endpoint;
     private final CallId call;
     private final PooledHttpClient client;
     private final ReachabilityMonitor reachability;
     private final CallHeaderNames headerNames;
+    private final ResponseVerifier verifier;
     private final EndpointTable endpoints;
     private final RateLimitReader rateLimitReader;
     private final LeavingReader leavingReader;
@@ -54,6 +53,7 @@
         this.client = dependencies.client();
         this.reachability = dependencies.paths().reachability();
         this.headerNames = dependencies.headerNames();
+        this.verifier = new ResponseVerifier(headerNames);
         this.endpoints = dependencies.endpoints();
         this.rateLimitReader = new RateLimitReader(headerNames.rateLimit(), endpoints);
         this.leavingReader = new LeavingReader(headerNames.leaving(), endpoints, client);
@@ -111,13 +111,14 @@
     @Override
     public void onHead(ResponseHead head) {
         endpoints.recordHeard(endpoint.id(), System.nanoTime());
-        Option<String> mismatch = mismatch(head);
+        Option<String> mismatch =
+                verifier.mismatch(call, head.status(), head.headers(), head.reusedConnection());
         if (mismatch.isDefined()) {
             cancel();
             listener.onNoResponse(new AttemptOutcome.Unknown(), mismatch.get());
             return;
         }
-        boolean misdirected = head.status() == MISDIRECTED_STATUS;
+        boolean misdirected = head.status() == ResponseVerifier.MISDIRECTED_STATUS;
         if (!misdirected) {
             // A misdirected call was answered by another endpoint, which speaks for itself only.
             rateLimitReader.read(endpoint.id(), call, head.headers());
@@ -135,24 +136,6 @@
         listener.onResponseHead(head.status(), head.headers());
     }
 
-    /**
-     * Returns why the response, also a rejection, does not belong to this call; none if it does. An
-     * endpoint may send a copy of an earlier response late, when the connection has been reused:
-     * relayed, it would be the answer to another call, and taken for a rejection, it would let a
-     * call that runs be sent again.
-     */
-    private Option<String> mismatch(ResponseHead head) {
-        String echoedCallId = head.headers().getFirst(headerNames.callId());
-        if (echoedCallId == null) {
-            return head.reusedConnection()
-                    ? Option.some("response on a reused connection carries no call id")
-                    : Option.none();
-        }
-        return echoedCallId.equals(call.value())
-                ? Option.none()
-                : Option.some("response carries the id of another call");
-    }
-
     @Override
     public void onBody(ByteBuffer bytes) {
         endpoints.recordHeard(endpoint.id(), System.nanoTime());
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
@@ -39,6 +39,7 @@
     private final CallId call;
     private final PooledHttpClient client;
     private final ForwardingHosts forwardingHosts;
+    private final ResponseVerifier verifier;
     private final RateLimitReader rateLimitReader;
     private final LeavingReader leavingReader;
     private final Listener listener;
@@ -64,6 +65,7 @@
         this.call = call;
         this.client = dependencies.client();
         this.forwardingHosts = dependencies.paths().forwardingHosts();
+        this.verifier = new ResponseVerifier(dependencies.headerNames());
         this.rateLimitReader =
                 new RateLimitReader(
                         dependencies.headerNames().rateLimit(), dependencies.endpoints());
@@ -194,6 +196,14 @@
     }
 
     private void onResponseHead(int status, HeaderMap headers) {
+        // A host of an earlier build passes on successes without a signature.
+        Option<String> mismatch = verifier.mismatch(call, status, headers, false);
+        if (mismatch.isDefined()) {
+            cancel();
+            endWith(new AttemptOutcome.Unknown(), mismatch.get());
+            listener.onNoResponse(outcome.get(), reason);
+            return;
+        }
         headSeen = true;
         rateLimitReader.read(endpoint.id(), call, headers);
         leavingReader.read(endpoint, call, headers);
