Remove interim responses of endpoints before they are parsed

A sound endpoint that sends a 102 or 103 and then its final response lost the final one.

Cause: Undertow's client takes each head except those with status 100 for the final one, and the transport handed it to listeners that expect no other. Ruled out: a call that waits with its timer stopped; the log shows that the call had ended as answered with status 102.

ResponseInputConduit, the former HeadLimitConduit, now removes interim heads between the socket and Undertow's client, so that no listener sees one: calls, forwarded calls, and requests to hosts and to the key-value service. Status 101 ends the attempt. Interim heads still count towards the limit of bytes before the final head.

--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
@@ -18,7 +18,7 @@
 final class ConnectionAttempt {
     private final IoRuntime runtime;
     private final XnioIoThread thread;
-    private final HeadLimitingOpener opener;
+    private final ResponseInputOpener opener;
     private final Consumer<Either<String, ServerConnection>> result;
     private XnioIoThread.Key timer;
     private boolean finished;
@@ -35,7 +35,7 @@
             Consumer<Either<String, ServerConnection>> result) {
         this.runtime = runtime;
         this.thread = thread;
-        this.opener = new HeadLimitingOpener(thread);
+        this.opener = new ResponseInputOpener(thread);
         this.result = result;
     }
 
@@ -97,7 +97,7 @@
                 IoUtils.safeClose(opened);
                 return;
             }
-            finish(Either.right(new ServerConnection(opened, opener.headLimit())));
+            finish(Either.right(new ServerConnection(opened, opener.responseInput())));
         }
 
         @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -30,6 +30,9 @@
      */
     private static final int MAXIMUM_PARTS_IN_A_ROW = 16;
 
+    /** Lower statuses are those of interim responses. */
+    private static final int FIRST_FINAL_STATUS = 200;
+
     private final PooledHttpClient client;
     private final IoRuntime runtime;
     private final PooledHttpClient.ConnectionPool pool;
@@ -92,7 +95,7 @@
 
     private void send(ServerConnection openConnection) {
         connection = openConnection;
-        connection.headLimit().startHead();
+        connection.responseInput().startHead();
         cancelTimer();
         request.responseTimeout()
                 .forEach(
@@ -173,8 +176,14 @@
                 return;
             }
             headSeen = true;
-            connection.headLimit().endHead();
+            connection.responseInput().endHead();
             ClientResponse response = exchange.getResponse();
+            if (response.getResponseCode() < FIRST_FINAL_STATUS) {
+                fail(
+                        new TransportFailure.Broken(
+                                "unexpected status " + response.getResponseCode()));
+                return;
+            }
             serverKeepsConnection =
                     !"close".equalsIgnoreCase(firstHeader(response, Headers.CONNECTION_STRING));
             readKeepAliveTimeout(firstHeader(response, "Keep-Alive"));
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
@@ -0,0 +1,91 @@
+package org.tamarackfold.transport;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Prepares the bytes of responses for Undertow's client. Removes interim heads, which the client
+ * takes for the final one, except those with status 100. Limits the bytes that a server sends
+ * before the final head of a response is complete; the client has no limit: bytes without end would
+ * fill the memory and, since it parses as long as there are any, occupy the I/O thread. Used on one
+ * I/O thread only.
+ */
+final class ResponseInputConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    /** More than the heads of well-known servers, whose own limits are 8 to 64 KiB. */
+    private static final long MAXIMUM_HEAD_BYTES = 64 * 1024;
+
+    private final InterimHeadFilter interimHeads = new InterimHeadFilter();
+    private boolean limited = true;
+    private long headBytes;
+
+    ResponseInputConduit(StreamSourceConduit next) {
+        super(next);
+    }
+
+    /** Starts to count the bytes of the heads of a response. */
+    void startHead() {
+        limited = true;
+        headBytes = 0;
+        interimHeads.startResponse();
+    }
+
+    /** Ends the limit: what follows is the body. */
+    void endHead() {
+        limited = false;
+    }
+
+    @Override
+    public int read(ByteBuffer buffer) throws IOException {
+        if (interimHeads.isFinalHeadReached()) {
+            int count = super.read(buffer);
+            checkLimit(count);
+            return count;
+        }
+        return readHeads(buffer);
+    }
+
+    /** Returns 0 when only bytes of interim heads have arrived. */
+    private int readHeads(ByteBuffer buffer) throws IOException {
+        int offset = buffer.position();
+        buffer.put(interimHeads.takeUndecided());
+        int count = super.read(buffer);
+        if (count <= 0) {
+            interimHeads.holdBack(buffer, offset);
+            return count;
+        }
+        checkLimit(count);
+        interimHeads.removeInterimHeads(buffer, offset);
+        return buffer.position() - offset;
+    }
+
+    @Override
+    public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
+        if (!interimHeads.isFinalHeadReached()) {
+            return readHeads(firstWithSpace(buffers, offset, length));
+        }
+        long count = super.read(buffers, offset, length);
+        checkLimit(count);
+        return count;
+    }
+
+    private static ByteBuffer firstWithSpace(ByteBuffer[] buffers, int offset, int length) {
+        for (int i = offset; i < offset + length - 1; i++) {
+            if (buffers[i].hasRemaining()) {
+                return buffers[i];
+            }
+        }
+        return buffers[offset + length - 1];
+    }
+
+    private void checkLimit(long count) throws IOException {
+        if (!limited || count <= 0) {
+            return;
+        }
+        headBytes += count;
+        if (headBytes > MAXIMUM_HEAD_BYTES) {
+            throw new IOException("response head is longer than " + MAXIMUM_HEAD_BYTES + " bytes");
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HeadLimitingOpener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputOpener.java
@@ -12,23 +12,23 @@
 import org.xnio.channels.BoundChannel;
 
 /**
- * Opens connections on an I/O thread and installs a {@link HeadLimitConduit} before Undertow's
+ * Opens connections on an I/O thread and installs a {@link ResponseInputConduit} before Undertow's
  * client reads from them. The client offers no other place: it opens its connections through the
  * I/O thread that it is given. An instance serves one connection and is never started as a thread.
  */
-final class HeadLimitingOpener extends XnioIoThread {
+final class ResponseInputOpener extends XnioIoThread {
     private final XnioIoThread thread;
-    private HeadLimitConduit headLimit;
+    private ResponseInputConduit responseInput;
     private IoFuture<StreamConnection> opening;
 
-    HeadLimitingOpener(XnioIoThread thread) {
+    ResponseInputOpener(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
         this.thread = thread;
     }
 
     /** Returns the conduit of the opened connection. */
-    HeadLimitConduit headLimit() {
-        return headLimit;
+    ResponseInputConduit responseInput() {
+        return responseInput;
     }
 
     /** Gives up opening the connection, which frees its descriptor before the system times out. */
@@ -39,8 +39,8 @@
     }
 
     private void install(StreamConnection connection) {
-        headLimit = new HeadLimitConduit(connection.getSourceChannel().getConduit());
-        connection.getSourceChannel().setConduit(headLimit);
+        responseInput = new ResponseInputConduit(connection.getSourceChannel().getConduit());
+        connection.getSourceChannel().setConduit(responseInput);
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseListener.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseListener.java
@@ -7,7 +7,7 @@
  * either {@link #onEnd} or {@link #onFailure}; a cancelled exchange makes no further calls.
  */
 public interface ResponseListener {
-    /** Called once, when the status line and the headers have arrived. */
+    /** Called once, when the status line and the headers of the final response have arrived. */
     void onHead(ResponseHead head);
 
     /** Called for each part of the body; the buffer is valid during the call only. */
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ServerConnection.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ServerConnection.java
@@ -8,9 +8,9 @@
  * An open connection to a server.
  *
  * @param client the connection of Undertow's client
- * @param headLimit limits the heads of responses on this connection
+ * @param responseInput the conduit through which the client reads responses
  */
-record ServerConnection(ClientConnection client, HeadLimitConduit headLimit) {
+record ServerConnection(ClientConnection client, ResponseInputConduit responseInput) {
     boolean isOpen() {
         return client.isOpen();
     }
