Limit the bytes of a response that belong to no part of its body

Cause: the limit of 64 KiB covered the head only and was lifted with it. Undertow's client has none for the size lines and extensions of chunks and for trailers, and keeps them as text until a line ends.

The limit now counts the bytes received since the response began or the last part of its body was read, at any time: heads, interim ones included, framing of chunks, trailers, and what follows a response. A response that exceeds it breaks off its attempt: 502, or a retry where the route allows it.

Evidence: five cases of endlessFramingIsCutOff failed before (chunk size and extension, trailer in one line and in many; unsafe calls and streams). The other new tests passed before and guard what the change must keep: chunk extensions of 2 kB, bytes after a whole response, interim heads, forwarded calls.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EndpointFaultsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EndpointFaultsTest.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Endpoints that send late copies of responses, bytes without end, or streams that stall. */
@@ -177,6 +178,72 @@
             assertCutOff("unsafe", new Step.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 0));
         }
 
+        /** Guards against interim responses that are removed without end. */
+        @Test
+        public void endlessRemovedInterimResponsesAreCutOff() throws IOException {
+            assertCutOff("unsafe", new Step.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 0));
+        }
+
+        /** Guards against the interim head without end, of which no line is ever complete. */
+        @Test
+        public void endlessInterimHeadIsCutOff() throws IOException {
+            assertCutOff(
+                    "unsafe",
+                    new Step.Send("HTTP/1.1 103 Early Hints\r\nLink: "),
+                    new Step.Repeat("x".repeat(500), 0));
+        }
+
+        private static final String CHUNKED =
+                "HTTP/1.1 200 OK\r\n" + SIGNATURE + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+        /** Framing of chunks and trailers that has no end, on a plain route and a stream. */
+        @DataProvider
+        public static Object[][] endlessFraming() {
+            String filler = "y".repeat(500);
+            return new Object[][] {
+                {"", "0"},
+                {"5;name=", filler},
+                {"4\r\nword\r\n5;name=", filler},
+                {"4\r\nword\r\n0\r\nX-Trailer: ", filler},
+                {"4\r\nword\r\n0\r\n", "X-Trailer: " + filler + "\r\n"},
+            };
+        }
+
+        /** Guards against trailers and extensions of chunks that fill the memory. */
+        @Test(dataProvider = "endlessFraming")
+        public void endlessFramingIsCutOff(String beginning, String repeated) throws IOException {
+            for (String route : new String[] {"unsafe", "stream"}) {
+                assertCutOff(
+                        route, new Step.Send(CHUNKED + beginning), new Step.Repeat(repeated, 0));
+            }
+        }
+
+        /** Guards against cutting a response with trailers and extensions of an ordinary size. */
+        @Test
+        public void framingOfOrdinarySizeIsRelayed() throws IOException {
+            String extension = ";name=" + "v".repeat(2_000) + "\r\n";
+            entry.endpoint()
+                    .respond(
+                            new Step.Send(CHUNKED),
+                            new Step.Send(("4" + extension + "word\r\n").repeat(60)),
+                            new Step.Send("0" + extension + "X-Trailer: 1\r\n\r\n"));
+            String response = entry.call("unsafe", "c1", "", "");
+            assertTrue(response.endsWith("word".repeat(60)), response);
+        }
+
+        /** Guards against bytes after a whole response that are kept for the next one. */
+        @Test
+        public void endlessBytesAfterAResponseAreCutOff() throws Exception {
+            entry.endpoint()
+                    .respond(
+                            new Step.Send(response("200 OK", SIGNATURE, "c1", "one")),
+                            new Step.Repeat("z".repeat(500), 0))
+                    .respond("200 OK", SIGNATURE, "two");
+            assertTrue(entry.call("unsafe", "c1", "", "").endsWith("one"));
+            assertTrue(entry.call("unsafe", "c2", "", "").endsWith("two"));
+            assertBounded();
+        }
+
         /** Guards against an event without end that fills the memory. */
         @Test
         public void endlessEventIsCutOff() throws IOException {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardHandlerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardHandlerTest.java
@@ -143,6 +143,39 @@
         }
     }
 
+    /** Endpoints whose bytes have no end. */
+    public static final class BytesWithoutEnd extends ForwardFixture {
+        private static final long MAXIMUM_READ_BYTES = 8_000_000;
+
+        private Result forwardEndless(String beginning, String repeated) throws IOException {
+            endpoint.respond(new Step.Send(beginning), new Step.Repeat(repeated, 0));
+            Result result = forward(call("c1").remainingTime(Duration.ofSeconds(20)).build());
+            long sent = endpoint.repeatedBytes();
+            assertTrue(sent < MAXIMUM_READ_BYTES, "bytes accepted: " + sent);
+            return result;
+        }
+
+        /** Guards against heads without end in the memory of the forwarding host. */
+        @Test
+        public void endlessHeadIsUnknown() throws IOException {
+            Result result = forwardEndless("HTTP/1.1 200 OK\r\nX-Filler: ", "y".repeat(500));
+            assertTrue(result.last() instanceof ForwardReply.Unknown, "" + result.last());
+        }
+
+        /** Guards against trailers without end in the memory of the forwarding host. */
+        @Test
+        public void endlessTrailersBreakTheResponseOff() throws IOException {
+            Result result =
+                    forwardEndless(
+                            "HTTP/1.1 200 OK\r\n"
+                                    + ANSWER
+                                    + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ",
+                            "y".repeat(500));
+            assertTrue(result.last() instanceof ForwardReply.Head, "" + result.last());
+            assertFalse(result.complete());
+        }
+    }
+
     /** Endpoints that must not receive calls any more. */
     public static final class Removals extends ForwardFixture {
         /** Guards against calls that reach an endpoint after it has said here that it leaves. */
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -95,7 +95,7 @@
 
     private void send(ServerConnection openConnection) {
         connection = openConnection;
-        connection.responseInput().startHead();
+        connection.responseInput().startResponse();
         cancelTimer();
         request.responseTimeout()
                 .forEach(
@@ -176,7 +176,6 @@
                 return;
             }
             headSeen = true;
-            connection.responseInput().endHead();
             ClientResponse response = exchange.getResponse();
             if (response.getResponseCode() < FIRST_FINAL_STATUS) {
                 fail(
@@ -243,6 +242,7 @@
                     complete();
                     return;
                 }
+                connection.responseInput().onBodyPart();
                 buffer.flip();
                 listener.onBody(buffer);
             }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
@@ -7,33 +7,33 @@
 
 /**
  * Prepares the bytes of responses for Undertow's client. Removes interim heads, which the client
- * takes for the final one, except those with status 100. Limits the bytes that a server sends
- * before the final head of a response is complete; the client has no limit: bytes without end would
- * fill the memory and, since it parses as long as there are any, occupy the I/O thread. Used on one
- * I/O thread only.
+ * takes for the final one, except those with status 100. Limits the bytes in a row that belong to
+ * no body: heads, the framing of chunks, trailers, and what follows a response. The client has no
+ * such limit: bytes without end would fill the memory and, since it parses as long as there are
+ * any, occupy the I/O thread. Used on one I/O thread only.
  */
 final class ResponseInputConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** More than the heads of well-known servers, whose own limits are 8 to 64 KiB. */
-    private static final long MAXIMUM_HEAD_BYTES = 64 * 1024;
+    private static final long MAXIMUM_BYTES_WITHOUT_BODY = 64 * 1024;
 
     private final InterimHeadFilter interimHeads = new InterimHeadFilter();
-    private boolean limited = true;
-    private long headBytes;
+
+    /** Bytes received since the response began or the last part of its body was read. */
+    private long bytesWithoutBody;
 
     ResponseInputConduit(StreamSourceConduit next) {
         super(next);
     }
 
-    /** Starts to count the bytes of the heads of a response. */
-    void startHead() {
-        limited = true;
-        headBytes = 0;
+    /** Expects a response. */
+    void startResponse() {
+        bytesWithoutBody = 0;
         interimHeads.startResponse();
     }
 
-    /** Ends the limit: what follows is the body. */
-    void endHead() {
-        limited = false;
+    /** Reports that a part of the body was read. */
+    void onBodyPart() {
+        bytesWithoutBody = 0;
     }
 
     @Override
@@ -80,12 +80,15 @@
     }
 
     private void checkLimit(long count) throws IOException {
-        if (!limited || count <= 0) {
+        if (count <= 0) {
             return;
         }
-        headBytes += count;
-        if (headBytes > MAXIMUM_HEAD_BYTES) {
-            throw new IOException("response head is longer than " + MAXIMUM_HEAD_BYTES + " bytes");
+        bytesWithoutBody += count;
+        if (bytesWithoutBody > MAXIMUM_BYTES_WITHOUT_BODY) {
+            throw new IOException(
+                    "more than "
+                            + MAXIMUM_BYTES_WITHOUT_BODY
+                            + " bytes in a row belong to no response body");
         }
     }
 }
