Act on a rejection at its head instead of its end

A rejection states in its head that the call has not run. The attempt waited for the end of its body nevertheless: with a body without end, or one that stops, the call was refused or retried only at its deadline, and the host read the bytes all that time.

The attempt now ends at the head. The rest of the response is read only to save the connection, up to 64 KiB and 500 ms; the connection is closed beyond that.

Evidence: rejectionWithAnEndlessBodyCountsAtOnce failed before (no answer within 3 s), and passes now. The tests of bytes without end count the bytes of one response; with two routes in one test the sum of both, 8.3 MB, once exceeded the bound of 8 MB for one.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EndpointFaultsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EndpointFaultsTest.java
@@ -136,13 +136,18 @@
         /** Long enough that a call that ends by its timeout shows. */
         private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
 
+        /** Bytes that the endpoint had sent without end before the current response. */
+        private long sentBefore;
+
         @Override
         @BeforeMethod
         public void start() throws IOException {
+            sentBefore = 0;
             entry = new EntryFixture(1, 100_000, LONG_TIMEOUT);
         }
 
         private void assertCutOff(String route, Step... steps) throws IOException {
+            sentBefore = entry.endpoint().repeatedBytes();
             entry.endpoint().respond(steps);
             long startedAtNanos = System.nanoTime();
             String response = entry.call(route, "c1", "", "");
@@ -152,8 +157,9 @@
             assertBounded();
         }
 
+        /** Checks the bytes of one response. */
         private void assertBounded() {
-            long sent = entry.endpoint().repeatedBytes();
+            long sent = entry.endpoint().repeatedBytes() - sentBefore;
             assertTrue(sent < MAXIMUM_READ_BYTES, "bytes accepted: " + sent);
         }
 
@@ -193,6 +199,31 @@
                     new Step.Repeat("x".repeat(500), 0));
         }
 
+        /**
+         * Guards against a call that waits for the end of a rejection until its deadline, although
+         * it is known that it has not run.
+         */
+        @Test
+        public void rejectionWithAnEndlessBodyCountsAtOnce() throws IOException {
+            String head = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nCall-Id: c1\r\n";
+            Step endless = new Step.Repeat("z".repeat(500), 0);
+            assertRejected(new Step.Send(head + "\r\n"), endless);
+            assertRejected(new Step.Send(head + "Content-Length: 9000000000\r\n\r\n"), endless);
+            assertRejected(
+                    new Step.Send(head + "Content-Length: 9\r\n\r\n"), new Step.Pause(9_000));
+        }
+
+        private void assertRejected(Step... steps) throws IOException {
+            sentBefore = entry.endpoint().repeatedBytes();
+            entry.endpoint().respond(steps);
+            long startedAtNanos = System.nanoTime();
+            String response = entry.call("unsafe", "c1", "", "");
+            long elapsedMillis = (System.nanoTime() - startedAtNanos) / 1_000_000;
+            assertTrue(response.startsWith("HTTP/1.1 503"), response);
+            assertTrue(elapsedMillis < 2_000, "refused after " + elapsedMillis + " ms");
+            assertBounded();
+        }
+
         private static final String CHUNKED =
                 "HTTP/1.1 200 OK\r\n" + SIGNATURE + "\r\nTransfer-Encoding: chunked\r\n\r\n";
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -38,9 +38,6 @@
     private final Listener listener;
     private ExchangeHandle handle;
 
-    /** Set when the head of the response is a rejection; otherwise null. */
-    private AttemptOutcome.Rejected rejection;
-
     private boolean headAccepted;
 
     DirectAttempt(
@@ -125,32 +122,32 @@
             leavingReader.read(endpoint, call, head.headers());
         }
         if (head.headers().contains(headerNames.notRun())) {
-            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL);
+            onRejection(AttemptOutcome.Cause.FULL);
             return;
         }
         if (misdirected) {
-            rejection = new AttemptOutcome.Rejected(AttemptOutcome.Cause.MISDIRECTED);
+            onRejection(AttemptOutcome.Cause.MISDIRECTED);
             return;
         }
         headAccepted = true;
         listener.onResponseHead(head.status(), head.headers());
     }
 
+    /** Ends the attempt at the head of a rejection: its body may be long or never end. */
+    private void onRejection(AttemptOutcome.Cause cause) {
+        handle.discardBody();
+        listener.onNoResponse(new AttemptOutcome.Rejected(cause), "rejected by the endpoint");
+    }
+
     @Override
     public void onBody(ByteBuffer bytes) {
         endpoints.recordHeard(endpoint.id(), System.nanoTime());
-        if (headAccepted) {
-            listener.onResponseBody(bytes);
-        }
+        listener.onResponseBody(bytes);
     }
 
     @Override
     public void onEnd() {
-        if (headAccepted) {
-            listener.onResponseEnd();
-            return;
-        }
-        listener.onNoResponse(rejection, "rejected by the endpoint");
+        listener.onResponseEnd();
     }
 
     @Override
@@ -159,10 +156,6 @@
             listener.onResponseFailure(String.valueOf(failure));
             return;
         }
-        if (rejection != null) {
-            listener.onNoResponse(rejection, "rejected by the endpoint");
-            return;
-        }
         reportPath(failure);
         AttemptOutcome outcome =
                 switch (failure) {
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
@@ -26,4 +26,11 @@
      * the I/O thread of the exchange; has no effect before the response head and after the end.
      */
     void setReadingPaused(boolean paused);
+
+    /**
+     * Ends the calls to the listener, and reads the rest of the response only in order to reuse the
+     * connection; closes it when that takes long. Called on the I/O thread, from {@link
+     * ResponseListener#onHead} on.
+     */
+    void discardBody();
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -33,6 +33,11 @@
     /** Lower statuses are those of interim responses. */
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Bytes of a discarded body that are read to save the connection. */
+    private static final long MAXIMUM_DISCARDED_BYTES = 64 * 1024;
+
+    private static final Duration DISCARD_TIMEOUT = Duration.ofMillis(500);
+
     private final PooledHttpClient client;
     private final IoRuntime runtime;
     private final PooledHttpClient.ConnectionPool pool;
@@ -52,6 +57,8 @@
     private boolean finished;
     private boolean serverKeepsConnection;
     private boolean paused;
+    private boolean discarding;
+    private long discardedBytes;
     private long idleTimeoutNanos;
 
     HttpExchange(
@@ -244,13 +251,24 @@
                 }
                 connection.responseInput().onBodyPart();
                 buffer.flip();
-                listener.onBody(buffer);
+                onBodyPart(buffer);
             }
         } catch (IOException e) {
             fail(new TransportFailure.Broken(String.valueOf(e.getMessage())));
         }
     }
 
+    private void onBodyPart(ByteBuffer part) {
+        if (!discarding) {
+            listener.onBody(part);
+            return;
+        }
+        discardedBytes += part.remaining();
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            cancel();
+        }
+    }
+
     private void complete() {
         finished = true;
         cancelTimer();
@@ -263,7 +281,9 @@
         } else {
             closeConnection();
         }
-        listener.onEnd();
+        if (!discarding) {
+            listener.onEnd();
+        }
     }
 
     private void releaseConnection() {
@@ -281,7 +301,9 @@
         finished = true;
         cancelTimer();
         closeConnection();
-        listener.onFailure(failure);
+        if (!discarding) {
+            listener.onFailure(failure);
+        }
     }
 
     @Override
@@ -319,6 +341,15 @@
         }
     }
 
+    @Override
+    public void discardBody() {
+        if (finished) {
+            return;
+        }
+        discarding = true;
+        setTimer(DISCARD_TIMEOUT, this::cancel);
+    }
+
     private void closeConnection() {
         if (connecting != null) {
             connecting.cancel();
