Bound the memory that the responses of a host keep together

An entry host kept up to 1 MiB for the incomplete event of each stream, 4 MiB of output of a turn, and 256 KiB for each response that waits for its end or for its caller. Endpoints that send without end fill a heap of 96 MB with a few dozen calls, each below its own limit.

ResponseMemory accounts for these bytes in one place, an eighth of the heap in total. Each response may keep 32 KiB in any case. Beyond the total, a stream that keeps more is broken off, a buffered response is relayed from then on, and a queue for a slow caller pauses its endpoint sooner. The queue counts the overhead of its parts too, since a body of tiny chunks is mostly overhead. Forwarded calls are accounted alike. The gauge tamarackfold_response_memory_bytes shows the use.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -56,9 +56,13 @@
 final class EntryFixture implements AutoCloseable {
     static final ServiceName SERVICE = new ServiceName("service");
 
+    /** The bytes of responses that the host may keep. */
+    static final long RESPONSE_MEMORY_BYTES = 4 * 1024 * 1024;
+
     final MemoryTurnHistory history;
     final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     final EndpointTable endpointTable;
+    final ResponseMemory responseMemory = new ResponseMemory(RESPONSE_MEMORY_BYTES);
     private final IoRuntime runtime;
     private final Undertow server;
     private final int port;
@@ -125,6 +129,7 @@
                         paths(client),
                         client,
                         history,
+                        responseMemory,
                         new HostMetrics(),
                         new Random(1));
         port = freePort();
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
@@ -49,9 +49,13 @@
     static final int MAXIMUM_CALLS = 4;
     static final int SOCKET_TIMEOUT_MILLIS = 3_000;
 
+    /** More than the calls of one test keep. */
+    private static final long RESPONSE_MEMORY_BYTES = 16 * 1024 * 1024;
+
     ScriptedEndpoint endpoint;
     EndpointTable endpointTable;
     CallDependencies dependencies;
+    final ResponseMemory responseMemory = new ResponseMemory(RESPONSE_MEMORY_BYTES);
     ForwardHandler handler;
     private IoRuntime runtime;
     private Undertow server;
@@ -115,6 +119,7 @@
                 paths,
                 client,
                 new EntryFixture.MemoryTurnHistory(),
+                responseMemory,
                 new HostMetrics(),
                 new Random(1));
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -291,12 +291,18 @@
     public void onResponseHead(int status, HeaderMap headers) {
         attempt.reportAnswered();
         boolean isStream = route.callSemantics().isStream() && status < 300;
+        ResponseMemory memory = dependencies.responseMemory();
         relay =
                 isStream
                         ? new EventStreamRelay(
-                                exchange, status, headers, turnState, attempt::setReadingPaused)
+                                exchange,
+                                status,
+                                headers,
+                                turnState,
+                                memory,
+                                attempt::setReadingPaused)
                         : new BufferedResponseRelay(
-                                exchange, status, headers, attempt::setReadingPaused);
+                                exchange, status, headers, memory, attempt::setReadingPaused);
     }
 
     @Override
@@ -308,8 +314,8 @@
             return;
         }
         relay.onBody(bytes);
-        if (relay.isMalformed()) {
-            handleIncompleteResponse(attempt.cancel(), "response is longer than any valid one");
+        if (relay.isTooLong()) {
+            handleIncompleteResponse(attempt.cancel(), "response is too long");
         }
     }
 
@@ -325,6 +331,7 @@
         }
         RetryDecision decision = retryPolicy.after(new AttemptOutcome.Answered(relay.status()));
         if (decision instanceof RetryDecision.Retry && !relay.started()) {
+            dropRelay();
             selectionRequest = selectionRequest.excluding(endpoint.id());
             dispatch();
             return;
@@ -376,11 +383,17 @@
             finish("broken_off", reason, endpoint);
             return;
         }
-        relay = null;
+        dropRelay();
         selectionRequest = selectionRequest.excluding(endpoint.id());
         apply(retryPolicy.after(new AttemptOutcome.Unknown()), reason);
     }
 
+    /** Drops the response of an attempt, of which the caller has received nothing. */
+    private void dropRelay() {
+        relay.release();
+        relay = null;
+    }
+
     /**
      * Returns the tokens of the events passed to the response writer; 0 for a response that is not
      * an event stream.
@@ -470,6 +483,9 @@
     /** Ends the call: stops its timer, settles its tokens, and records it in metrics and log. */
     private void finish(String outcome, String reason, EndpointRecord endpoint) {
         finished = true;
+        if (relay != null) {
+            relay.release();
+        }
         activeCalls.remove(this);
         deadline.stop();
         if (disconnectDetector != null) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/BufferedResponseRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/BufferedResponseRelay.java
@@ -10,8 +10,8 @@
 
 /**
  * Buffers a response and sends it to the caller when it is complete, so that a call whose response
- * is truncated can be retried. A response that outgrows the buffer is sent on as it arrives, at the
- * pace of the caller.
+ * is truncated can be retried. A response that outgrows the buffer, or for which the memory of
+ * responses does not suffice, is sent on as it arrives, at the pace of the caller.
  */
 final class BufferedResponseRelay implements ResponseRelay {
     /** Size up to which a response is buffered. */
@@ -25,20 +25,23 @@
             HttpServerExchange exchange,
             int status,
             HeaderMap headers,
+            ResponseMemory memory,
             Consumer<Boolean> setReadingPaused) {
         this.headers = headers;
-        this.response = new PacedResponse(exchange, status, headers, setReadingPaused);
+        this.response = new PacedResponse(exchange, status, headers, memory, setReadingPaused);
     }
 
     @Override
     public void onBody(ByteBuffer bytes) {
         body.append(bytes);
-        if (!response.started() && body.size() <= MAXIMUM_BUFFERED_BYTES) {
+        if (!response.started()
+                && response.keep(body.size())
+                && body.size() <= MAXIMUM_BUFFERED_BYTES) {
             return;
         }
         response.start(Option.of(headers.getFirst(Headers.CONTENT_LENGTH)));
         response.write(body.drain());
-        response.pauseIfQueueIsLong();
+        response.keep(0);
     }
 
     @Override
@@ -57,7 +60,7 @@
     }
 
     @Override
-    public boolean isMalformed() {
+    public boolean isTooLong() {
         return false;
     }
 
@@ -73,4 +76,9 @@
     public void abort() {
         response.abort();
     }
+
+    @Override
+    public void release() {
+        response.release();
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
@@ -16,6 +16,7 @@
  * @param paths the ways from this host to endpoints
  * @param client the HTTP client for requests to endpoints
  * @param history the token budgets and turn histories of programs
+ * @param responseMemory bounds the bytes of responses that are kept
  * @param metrics the metrics of this process
  * @param random the source of the jitter of retry delays and of the weighted selection of services
  */
@@ -26,5 +27,6 @@
         EndpointPaths paths,
         PooledHttpClient client,
         TurnHistory history,
+        ResponseMemory responseMemory,
         HostMetrics metrics,
         RandomGenerator random) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventParser.java
@@ -85,6 +85,11 @@
         return events;
     }
 
+    /** Returns the number of bytes of the incomplete event. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Returns whether the incomplete event is longer than any valid one. */
     boolean isOverflowing() {
         return pending.size() > MAXIMUM_EVENT_BYTES;
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
@@ -17,15 +17,17 @@
     private final EventParser parser = new EventParser();
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private int eventCount;
+    private boolean memoryGranted = true;
 
     EventStreamRelay(
             HttpServerExchange exchange,
             int status,
             HeaderMap headers,
             TurnState turn,
+            ResponseMemory memory,
             Consumer<Boolean> setReadingPaused) {
         this.turn = turn;
-        this.response = new PacedResponse(exchange, status, headers, setReadingPaused);
+        this.response = new PacedResponse(exchange, status, headers, memory, setReadingPaused);
     }
 
     @Override
@@ -38,7 +40,7 @@
             response.start(Option.none());
             response.write(event.bytes());
         }
-        response.pauseIfQueueIsLong();
+        memoryGranted = response.keep(parser.pendingBytes() + data.size());
     }
 
     /** Returns the number of events passed to the response writer; the last may still be queued. */
@@ -67,8 +69,8 @@
     }
 
     @Override
-    public boolean isMalformed() {
-        return parser.isOverflowing() || data.size() > MAXIMUM_OUTPUT_BYTES;
+    public boolean isTooLong() {
+        return parser.isOverflowing() || data.size() > MAXIMUM_OUTPUT_BYTES || !memoryGranted;
     }
 
     @Override
@@ -82,4 +84,9 @@
     public void abort() {
         response.abort();
     }
+
+    @Override
+    public void release() {
+        response.release();
+    }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedCallExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedCallExchange.java
@@ -23,7 +23,7 @@
 final class ForwardedCallExchange implements EndpointAttempt.Listener {
     private static final StructuredLog LOG = StructuredLog.of("forward");
 
-    /** Bytes queued for the other host above which reading from the endpoint pauses. */
+    /** Memory of the queue for the other host above which reading from the endpoint pauses. */
     private static final long PAUSE_THRESHOLD_BYTES = 256 * 1024;
 
     private final CallDependencies dependencies;
@@ -33,6 +33,7 @@
     private final ForwardedCall call;
     private final DirectAttempt attempt;
     private final ResponseWriter writer;
+    private final ResponseMemory.Account account;
     private final long startedAtNanos = System.nanoTime();
     private DisconnectDetector disconnectDetector;
     private SilenceWatch silenceWatch;
@@ -53,6 +54,7 @@
         this.call = call;
         this.attempt = new DirectAttempt(endpoint, call.id(), dependencies, this);
         this.writer = new ResponseWriter(exchange, this::onQueueEmpty);
+        this.account = dependencies.responseMemory().open();
     }
 
     int bodyBytes() {
@@ -91,7 +93,8 @@
     }
 
     private void onQueueEmpty() {
-        if (paused && writer.pendingBytes() == 0) {
+        if (paused && writer.queuedMemory() == 0) {
+            account.resize(0);
             paused = false;
             attempt.setReadingPaused(false);
         }
@@ -140,7 +143,9 @@
         byte[] part = new byte[bytes.remaining()];
         bytes.get(part);
         writer.write(part);
-        if (!paused && writer.pendingBytes() > PAUSE_THRESHOLD_BYTES) {
+        boolean granted = account.resize(writer.queuedMemory());
+        long threshold = granted ? PAUSE_THRESHOLD_BYTES : ResponseMemory.GUARANTEED_BYTES;
+        if (!paused && writer.queuedMemory() > threshold) {
             paused = true;
             attempt.setReadingPaused(true);
         }
@@ -193,6 +198,7 @@
         deadline.remove();
         disconnectDetector.stop();
         silenceWatch.stop();
+        account.close();
         LOG.event("forwarded")
                 .with("call", call.id())
                 .with("endpoint", call.endpoint())
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/PacedResponse.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/PacedResponse.java
@@ -13,8 +13,8 @@
  */
 final class PacedResponse {
     /**
-     * Bytes queued for a slow caller above which reading from the endpoint pauses until the queue
-     * is empty.
+     * Memory of the queue for a slow caller, in bytes, above which reading from the endpoint pauses
+     * until the queue is empty.
      */
     private static final long PAUSE_THRESHOLD_BYTES = 256 * 1024;
 
@@ -23,6 +23,8 @@
     private final HeaderMap headers;
     private final Consumer<Boolean> setReadingPaused;
     private final ResponseWriter writer;
+    private final ResponseMemory.Account account;
+    private long keptBytes;
     private boolean started;
     private boolean paused;
 
@@ -30,12 +32,14 @@
             HttpServerExchange exchange,
             int status,
             HeaderMap headers,
+            ResponseMemory memory,
             Consumer<Boolean> setReadingPaused) {
         this.exchange = exchange;
         this.status = status;
         this.headers = headers;
         this.setReadingPaused = setReadingPaused;
         this.writer = new ResponseWriter(exchange, this::onQueueEmpty);
+        this.account = memory.open();
     }
 
     int status() {
@@ -70,21 +74,36 @@
         writer.write(bytes);
     }
 
-    /** Pauses reading from the endpoint when too many bytes are queued. */
-    void pauseIfQueueIsLong() {
-        if (!paused && writer.pendingBytes() > PAUSE_THRESHOLD_BYTES) {
+    /**
+     * Accounts for the queue and for the bytes that the relay keeps beside it. Pauses reading from
+     * the endpoint while the queue is long, or the responses of this host keep too many bytes.
+     *
+     * @return whether the relay may keep so many bytes
+     */
+    boolean keep(long bytes) {
+        keptBytes = bytes;
+        boolean granted = account.resize(keptBytes + writer.queuedMemory());
+        long threshold = granted ? PAUSE_THRESHOLD_BYTES : ResponseMemory.GUARANTEED_BYTES;
+        if (!paused && writer.queuedMemory() > threshold) {
             paused = true;
             setReadingPaused.accept(true);
         }
+        return granted || keptBytes <= ResponseMemory.GUARANTEED_BYTES;
     }
 
     private void onQueueEmpty() {
-        if (paused && writer.pendingBytes() == 0) {
+        if (paused && writer.queuedMemory() == 0) {
+            account.resize(keptBytes);
             paused = false;
             setReadingPaused.accept(false);
         }
     }
 
+    /** Gives back the memory of the response, which keeps nothing any more. */
+    void release() {
+        account.close();
+    }
+
     void end() {
         writer.end();
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ResponseRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ResponseRelay.java
@@ -18,12 +18,18 @@
      */
     boolean isComplete();
 
-    /** Returns whether the bytes received so far cannot belong to a valid response. */
-    boolean isMalformed();
+    /**
+     * Returns whether the bytes received so far cannot belong to a valid response, or are too many
+     * to be kept.
+     */
+    boolean isTooLong();
 
     /** Sends what remains of the response and ends it. */
     void finish();
 
     /** Closes the connection to the caller, so that a truncated response does not look complete. */
     void abort();
+
+    /** Gives back the memory of the response; called once it is over for this relay. */
+    void release();
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 
 /** The metrics of one host process. Thread-safe. */
 public final class HostMetrics {
@@ -162,6 +163,15 @@
                 .register(registry);
     }
 
+    /** Serves the bytes of responses that this host keeps, read at each scrape. Called once. */
+    public void observeResponseMemory(LongSupplier bytes) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + "response_memory_bytes")
+                .help("Bytes of responses that are buffered or wait for a slow caller.")
+                .callback(callback -> callback.call(bytes.getAsLong()))
+                .register(registry);
+    }
+
     /** Counts a finished or failed call to the key-value service. */
     public void recordKeyValueCall(String operation, String outcome) {
         keyValueCalls.labelValues(operation, outcome).inc();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -9,6 +9,7 @@
 import org.tamarackfold.caller.http.CallHandler;
 import org.tamarackfold.caller.http.EndpointPaths;
 import org.tamarackfold.caller.http.ForwardHandler;
+import org.tamarackfold.caller.http.ResponseMemory;
 import org.tamarackfold.endpoint.EndpointRegistry;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
@@ -121,10 +122,17 @@
                 components.client(),
                 new HistoryClient(
                         components.layouts(), newStorageRequestSender(), components.scheduler()),
+                newResponseMemory(),
                 components.metrics(),
                 components.random());
     }
 
+    private ResponseMemory newResponseMemory() {
+        ResponseMemory responseMemory = ResponseMemory.ofHeap();
+        components.metrics().observeResponseMemory(responseMemory::usedBytes);
+        return responseMemory;
+    }
+
     private StorageRequestSender newStorageRequestSender() {
         return new StorageRequestSender(
                 components.settings().host(),
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseWriter.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseWriter.java
@@ -10,6 +10,9 @@
 
 /** Writes a response without blocking. Must be used on the I/O thread of the exchange only. */
 public final class ResponseWriter {
+    /** Memory of a queued part beside its bytes: a body of tiny parts is mostly this. */
+    private static final long PART_OVERHEAD_BYTES = 96;
+
     private final HttpServerExchange exchange;
     private final Runnable onQueueEmpty;
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
@@ -65,9 +68,9 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
-    /** Returns the number of queued bytes that have not been written yet. */
-    public long pendingBytes() {
-        return pendingBytes;
+    /** Returns the memory of the queued parts, in bytes; 0 when nothing is queued. */
+    public long queuedMemory() {
+        return pendingBytes + queue.size() * PART_OVERHEAD_BYTES;
     }
 
     private void writeQueued() {
