Break off a chunked response at bytes that are no chunk

Cause: Undertow's client takes a line in place of a chunk's size that has no hexadecimal digit for the last chunk, and the bytes "HTTP/1.1" have none before their end. Ruled out: that the relay ends a stream at a broken connection; there was no close before the end of the response.

ChunkFramingCheck follows the framing of a chunked body in the conduit before the client parses it. Bytes that are no chunk break the attempt off, also when they come with the head.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/BrokenResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/BrokenResponsesTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Endpoints whose responses are repeated, or end before they are complete. */
@@ -174,6 +175,75 @@
         }
     }
 
+    /** Foreign bytes between the chunks of a response. */
+    public static final class BrokenChunks extends CallFixture {
+        /** Bytes in place of the size of a chunk. */
+        @DataProvider
+        public static Object[][] foreignBytes() {
+            return new Object[][] {
+                {"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nstarting"},
+                {"\r\n\r\n"},
+                {";name=value\r\n\r\n"},
+                {"xyz\r\n\r\n"},
+                {" 0\r\n\r\n"},
+                {"-1\r\n\r\n"},
+            };
+        }
+
+        private void assertBrokenOff(Step... steps) throws IOException {
+            scriptAllEndpoints(steps);
+            String response = entry.call("stream", "c1", "", "");
+            assertFalse(response.endsWith("0\r\n\r\n"), response);
+            assertFalse(response.contains("starting"), response);
+        }
+
+        /** Guards against a stream that ends as complete at bytes that are no chunk. */
+        @Test(dataProvider = "foreignBytes")
+        public void streamIsBrokenOff(String bytes) throws IOException {
+            assertBrokenOff(
+                    new Step.Send(CHUNKED_HEAD),
+                    chunk(event(1)),
+                    new Step.Pause(30),
+                    new Step.Send(bytes),
+                    new Step.Pause(1_000));
+        }
+
+        /** Guards against foreign bytes that arrive with the head or with a chunk. */
+        @Test(dataProvider = "foreignBytes")
+        public void streamInOnePacketIsBrokenOff(String bytes) throws IOException {
+            String head = event(1);
+            String first = Integer.toHexString(head.length()) + "\r\n" + head + "\r\n";
+            assertBrokenOff(new Step.Send(CHUNKED_HEAD + first + bytes), new Step.Pause(1_000));
+        }
+
+        /** Guards against a body that looks whole at bytes that are no chunk. */
+        @Test(dataProvider = "foreignBytes")
+        public void bodyIsNoSuccess(String bytes) throws IOException {
+            scriptAllEndpoints(
+                    new Step.Send(CHUNKED_HEAD + "4\r\nword\r\n" + bytes), new Step.Pause(1_000));
+            String response = entry.call("unsafe", "c1", "", "");
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+        }
+
+        /** Guards against chunks that are broken off because of the way in which they are split. */
+        @Test
+        public void wholeStreamInAnyPacketsIsComplete() throws IOException {
+            String event = event(1);
+            String body = "00" + Integer.toHexString(event.length()) + " ;a=b\r\n" + event + "\r\n";
+            String all = CHUNKED_HEAD + body + body + "0\r\nX-Trailer: 1\r\n\r\n";
+            for (int cut = CHUNKED_HEAD.length() - 4; cut < all.length(); cut++) {
+                scriptAllEndpoints(
+                        new Step.Send(all.substring(0, cut)),
+                        new Step.Pause(2),
+                        new Step.Send(all.substring(cut)));
+                String response = entry.call("stream", "c1", "", "");
+                assertTrue(response.endsWith("0\r\n\r\n"), cut + ": " + response);
+                entry.close();
+                start();
+            }
+        }
+    }
+
     /** Responses with neither a length nor chunks, which end with their connection. */
     public static final class Unframed extends CallFixture {
         private String callStream(String body, Step end) throws IOException {
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -190,6 +190,9 @@
                                 "unexpected status " + response.getResponseCode()));
                 return;
             }
+            if (!acceptsFraming(response)) {
+                return;
+            }
             serverKeepsConnection =
                     !"close".equalsIgnoreCase(firstHeader(response, Headers.CONNECTION_STRING));
             readKeepAliveTimeout(firstHeader(response, "Keep-Alive"));
@@ -203,6 +206,20 @@
             readBody();
         }
 
+        private boolean acceptsFraming(ClientResponse response) {
+            try {
+                if ("chunked"
+                        .equalsIgnoreCase(
+                                firstHeader(response, Headers.TRANSFER_ENCODING_STRING))) {
+                    connection.responseInput().startChunkedBody();
+                }
+                return true;
+            } catch (IOException e) {
+                fail(new TransportFailure.Broken(String.valueOf(e.getMessage())));
+                return false;
+            }
+        }
+
         @Override
         public void failed(IOException e) {
             fail(exchangeFailure(e));
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
@@ -10,13 +10,17 @@
  * takes for the final one, except those with status 100. Limits the bytes in a row that belong to
  * no body: heads, the framing of chunks, trailers, and what follows a response. The client has no
  * such limit: bytes without end would fill the memory and, since it parses as long as there are
- * any, occupy the I/O thread. Used on one I/O thread only.
+ * any, occupy the I/O thread. Checks the framing of chunks. Used on one I/O thread only.
  */
 final class ResponseInputConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** More than the heads of well-known servers, whose own limits are 8 to 64 KiB. */
     private static final long MAXIMUM_BYTES_WITHOUT_BODY = 64 * 1024;
 
     private final InterimHeadFilter interimHeads = new InterimHeadFilter();
+    private final ChunkFramingCheck framing = new ChunkFramingCheck();
+
+    /** Whether the body of the response is known to be chunked. */
+    private boolean chunked;
 
     /** Bytes received since the response began or the last part of its body was read. */
     private long bytesWithoutBody;
@@ -28,7 +32,25 @@
     /** Expects a response. */
     void startResponse() {
         bytesWithoutBody = 0;
+        chunked = false;
         interimHeads.startResponse();
+        framing.startResponse();
+    }
+
+    /**
+     * Reports that the head states a chunked body.
+     *
+     * @throws IOException when the bytes that came with the head are no such body
+     */
+    void startChunkedBody() throws IOException {
+        chunked = true;
+        checkFraming();
+    }
+
+    private void checkFraming() throws IOException {
+        if (chunked && framing.isMalformed()) {
+            throw new IOException("the body is not framed in chunks as its head states");
+        }
     }
 
     /** Reports that a part of the body was read. */
@@ -38,12 +60,17 @@
 
     @Override
     public int read(ByteBuffer buffer) throws IOException {
-        if (interimHeads.isFinalHeadReached()) {
-            int count = super.read(buffer);
-            checkLimit(count);
-            return count;
-        }
-        return readHeads(buffer);
+        int offset = buffer.position();
+        int count = interimHeads.isFinalHeadReached() ? readFinal(buffer) : readHeads(buffer);
+        framing.check(buffer, offset);
+        checkFraming();
+        return count;
+    }
+
+    private int readFinal(ByteBuffer buffer) throws IOException {
+        int count = super.read(buffer);
+        checkLimit(count);
+        return count;
     }
 
     /** Returns 0 when only bytes of interim heads have arrived. */
@@ -60,14 +87,10 @@
         return buffer.position() - offset;
     }
 
+    /** Fills one buffer only, so that all bytes are checked in their order. */
     @Override
     public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
-        if (!interimHeads.isFinalHeadReached()) {
-            return readHeads(firstWithSpace(buffers, offset, length));
-        }
-        long count = super.read(buffers, offset, length);
-        checkLimit(count);
-        return count;
+        return read(firstWithSpace(buffers, offset, length));
     }
 
     private static ByteBuffer firstWithSpace(ByteBuffer[] buffers, int offset, int length) {
