Teach the fault soak endpoints that send bytes that are no response

Hosts of the soak end at an OutOfMemoryError, so that the rule ENDED reports it. The selection is separate, so that the faults of earlier seeds stay the same.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -39,9 +39,18 @@
             name = "--faults",
             title = "selection",
             description =
-                    "planned, unplanned, all, versions (all, with two software versions), or cuts"
-                            + " (hosts cut off from endpoints, beside planned work)")
-    @AllowedRawValues(allowedValues = {"planned", "unplanned", "all", "versions", "cuts"})
+                    "planned, unplanned, all, versions (all, with two software versions), cuts (hosts"
+                            + " cut off from endpoints, beside planned work), or"
+                            + " spoiled_responses (bytes of endpoints that are no response)")
+    @AllowedRawValues(
+            allowedValues = {
+                "planned",
+                "unplanned",
+                "all",
+                "versions",
+                "cuts",
+                "spoiled_responses"
+            })
     private String faults = "all";
 
     /** Creates the command; the command-line parser sets its options. */
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
@@ -58,6 +58,14 @@
          * @param resetsOpen whether open connections are reset; otherwise they go on
          */
         record Closed(boolean resetsOpen) implements Condition {}
+
+        /**
+         * Some blocks of responses are replaced, and their connections closed.
+         *
+         * @param response what is sent instead
+         * @param interval one block of so many is replaced
+         */
+        record Spoiled(SpoiledResponse response, int interval) implements Condition {}
     }
 
     private static final int BLOCK_BYTES = 16 * 1024;
@@ -83,6 +91,9 @@
     private volatile Condition condition = new Condition.Clear();
     private volatile long lastRefusalNanos = Long.MIN_VALUE;
 
+    /** Blocks of responses that have passed while some are spoiled. */
+    private final AtomicInteger responseBlocks = new AtomicInteger();
+
     /** Starts a proxy at a free port of the loopback interface. */
     public LoopbackProxy(Address target) throws IOException {
         this.target = target;
@@ -127,6 +138,7 @@
             case Condition.Clear(),
                     Condition.Refusing(),
                     Condition.Delayed(long _),
+                    Condition.Spoiled(SpoiledResponse _, int _),
                     Condition.Silent(boolean _, boolean _) -> {
                 if (!listened) {
                     stopListening();
@@ -264,6 +276,13 @@
                 OutputStream output = to.getOutputStream();
                 for (int length = input.read(block); length >= 0; length = input.read(block)) {
                     awaitPassing();
+                    if (!toServer && condition instanceof Condition.Spoiled spoiled) {
+                        if (responseBlocks.incrementAndGet() % spoiled.interval() == 0) {
+                            spoiled.response().writeTo(output);
+                            reset();
+                            return;
+                        }
+                    }
                     if (passes(toServer)) {
                         output.write(block, 0, length);
                     }
@@ -293,6 +312,7 @@
                 case Condition.Clear(),
                         Condition.Refusing(),
                         Condition.Hanging(),
+                        Condition.Spoiled(SpoiledResponse _, int _),
                         Condition.Closed(boolean _) -> {}
             }
             return toServer ? !silentToServer : !silentToClient;
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
+import org.tamarackfold.daemon.soak.http.SpoiledResponse;
 
 /** Chooses faults at random from a seed. Used by one thread. */
 final class FaultPlan {
@@ -59,6 +60,9 @@
         if (faults == SoakOptions.FaultSelection.CUTS) {
             return random.nextInt(3) > 0 ? cutOff() : nextPlanned();
         }
+        if (faults == SoakOptions.FaultSelection.SPOILED_RESPONSES) {
+            return random.nextInt(4) > 0 ? spoiledResponses() : nextPlanned();
+        }
         return switch (random.nextInt(13)) {
             case 12 -> cutOff();
             case 0 -> new Fault.Kill(List.of(host(true)), pauseMillis);
@@ -91,6 +95,18 @@
         return new Fault.CutOff(List.copyOf(entries.subList(0, count)), pick(CUTS), pauseMillis);
     }
 
+    /** Has an endpoint spoil a third to all of its responses for some seconds. */
+    private Fault spoiledResponses() {
+        Fleet.Slot slot = pick(fleet.slots);
+        SpoiledResponse response = pick(List.of(SpoiledResponse.values()));
+        return new Fault.Disconnect(
+                "hosts and " + slot.endpoint.id(),
+                List.of(slot.endpoint.proxy()),
+                new Condition.Spoiled(response, 1 + random.nextInt(3)),
+                500 + random.nextInt(4_000),
+                false);
+    }
+
     private Fault disconnect(String peers, List<LoopbackProxy> proxies, long pauseMillis) {
         return new Fault.Disconnect(
                 peers, proxies, pick(CONDITIONS), pauseMillis, random.nextBoolean());
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostProcess.java
@@ -53,11 +53,15 @@
         busy.set(false);
     }
 
-    /** Starts the command of the deployment, without its archive of classes. */
+    /**
+     * Starts the command of the deployment, without its archive of classes. A process that runs out
+     * of heap ends, so that it is noticed.
+     */
     void start() throws IOException {
         File log = settings.resolveSibling(id + ".log").toFile();
         List<String> command = new ArrayList<>();
         command.addAll(List.of(JAVA, "-Xmx128m", "-Xss256k", "-XX:+UseSerialGC"));
+        command.add("-XX:+ExitOnOutOfMemoryError");
         command.addAll(List.of("-XX:TieredStopAtLevel=1", "-Dtamarackfold.lock.check=true"));
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         command.addAll(List.of(HostDaemon.class.getName(), settings.toString()));
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
@@ -31,6 +31,8 @@
         /** As {@link #ALL}, with endpoints of two software versions. */
         VERSIONS,
         /** Entry hosts that are cut off from all endpoints, beside planned work. */
-        CUTS
+        CUTS,
+        /** Endpoints that send bytes that are no response, beside planned work. */
+        SPOILED_RESPONSES
     }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
@@ -58,4 +58,13 @@
             checkSeed(3, Duration.ofSeconds(12), FaultSelection.CUTS);
         }
     }
+
+    /** Endpoints that send bytes that are no response, or bytes without end. */
+    public static final class SpoiledResponses {
+        /** Guards against such bytes that reach callers, end a host, or keep it from others. */
+        @Test
+        public void promisesHold() throws Exception {
+            checkSeed(7, Duration.ofSeconds(12), FaultSelection.SPOILED_RESPONSES);
+        }
+    }
 }
