Notice a silent watch within the time for the recovery

Cause: the wait of a watch was derived from the sum of the recovery and of the bound of a change. The two do not add up: a change acknowledged during a disturbance must be in force once the recovery has passed. A watch that begins just before its connection goes silent was given up after 6.5 s with the bounds of the grown deployments, where 4 s are left; after 4.5 s instead of 3 on the small ones, 8.5 instead of 5 on the large one.

The wait is now the recovery less the time for noticing: 1, 2 and 3 s instead of 3, 5 and 7. Two tests of PrefixWatcherTest stated the sum; they are replaced by one that checks the time for noticing for several recoveries, and by the exact waits.

Evidence: the three tests of the timing failed before.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
@@ -178,11 +178,26 @@
 
     /** Timing derived from the bounds of a fleet. */
     public static final class Timing {
-        /** Guards against a silent connection that is noticed only after the bound has passed. */
+        /**
+         * Guards against a change that is acknowledged during a disturbance and not in force when
+         * the time for the recovery has passed: the watch waits on a connection that has gone
+         * silent.
+         */
+        @Test
+        public void silentConnectionIsNoticedWithinTheRecovery() {
+            for (int seconds : new int[] {3, 4, 5, 10}) {
+                Duration recovery = Duration.ofSeconds(seconds);
+                WatchTiming timing = WatchTiming.of(recovery, recovery.dividedBy(2), 10);
+                Duration noticed = timing.longPoll().plus(WatchTiming.DETECTION_MARGIN);
+                assertTrue(noticed.compareTo(recovery) <= 0, recovery + ": " + timing);
+            }
+        }
+
+        /** Guards against a watch that is repeated without need. */
         @Test
-        public void waitLeavesTimeWithinTheBound() {
+        public void watchWaitsAsLongAsTheRecoveryAllows() {
             WatchTiming small = WatchTiming.of(Duration.ofSeconds(3), Duration.ofSeconds(2), 10);
-            assertEquals(small.longPoll(), Duration.ofSeconds(3));
+            assertEquals(small.longPoll(), Duration.ofSeconds(1));
             assertEquals(small.gathering(), Duration.ofMillis(50));
         }
 
@@ -190,7 +205,7 @@
         @Test
         public void gatheringIsAFractionOfTheBound() {
             WatchTiming large = WatchTiming.of(Duration.ofSeconds(5), Duration.ofSeconds(4), 900);
-            assertEquals(large.longPoll(), Duration.ofSeconds(7));
+            assertEquals(large.longPoll(), Duration.ofSeconds(3));
             assertEquals(large.gathering(), Duration.ofMillis(500));
         }
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/WatchTiming.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/WatchTiming.java
@@ -14,7 +14,7 @@
  */
 public record WatchTiming(Duration longPoll, Duration gathering) {
     /** Response timeout, reconnection and listing after a connection has gone silent. */
-    private static final Duration DETECTION_MARGIN = Duration.ofSeconds(2);
+    static final Duration DETECTION_MARGIN = Duration.ofSeconds(2);
 
     private static final Duration SHORTEST_WAIT = Duration.ofSeconds(1);
 
@@ -31,14 +31,16 @@
     private static final int GATHERING_DIVISOR = 8;
 
     /**
-     * Derives the timing from the bounds within which changes must be in force.
+     * Derives the timing from the bounds within which changes must be in force. The two do not add
+     * up: a change that was acknowledged during a disturbance must be in force when {@code
+     * recovery} has passed, so that a connection that has gone silent must be noticed by then.
      *
      * @param recovery the time after a disturbance in which {@code bound} does not apply yet
      * @param bound the time within which a change must be in force
      * @param hosts the number of hosts that watch
      */
     public static WatchTiming of(Duration recovery, Duration bound, int hosts) {
-        Duration wait = recovery.plus(bound).minus(DETECTION_MARGIN);
+        Duration wait = recovery.minus(DETECTION_MARGIN);
         return new WatchTiming(
                 Durations.min(LONGEST_WAIT, Durations.max(SHORTEST_WAIT, wait)),
                 Durations.min(
