Close the idle connections to a server that has not answered in time

Cause: the pool hands out the most recently used connection, and a timeout closed only its own. The lease of a registration keeps further connections to the key-value service open beside that of the watch.

A response that has timed out now closes the idle connections to the same server; the next request opens a new one. Requests to other hosts gain likewise. Calls to endpoints have no timeout of this kind.

Evidence: SilentConnectionsTest failed before (the second request timed out, too).

--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -318,6 +318,10 @@
         finished = true;
         cancelTimer();
         closeConnection();
+        if (failure instanceof TransportFailure.TimedOut) {
+            // What has silenced this connection may have silenced the idle ones, too.
+            pool.closeAll(request.address());
+        }
         if (!discarding) {
             listener.onFailure(failure);
         }
