Go on watching after a request that ended with an unexpected error

Cause: the watch and the registration go on when the future of their request completes with a result or a failure. An exception or error that is neither, for example OutOfMemoryError, completes it exceptionally, and nothing followed.

ContainedRequest turns such an error into a failure of the request, which is retried like any other. PrefixWatcher and LeasedKey use it. Requests between hosts have timeouts of their own.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/MemoryKeyValueService.java
@@ -74,6 +74,13 @@
         writeDelay = value;
     }
 
+    /** Ends the pending watches with an exception or error instead of a result. */
+    public void failWatches(Throwable error) {
+        List<Watch> pending = List.copyOf(watches);
+        watches.clear();
+        pending.forEach(watch -> watch.result().completeExceptionally(error));
+    }
+
     private <T> CompletableFuture<Either<Failure, T>> respond(
             java.util.function.Supplier<Either<Failure, T>> operation) {
         calls++;
--- a/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/keyvalue/PrefixWatcherTest.java
@@ -176,6 +176,26 @@
         }
     }
 
+    /** Requests to the service that end with an exception or error instead of a result. */
+    public static final class UnexpectedErrors extends Fixture {
+        /** Guards against a host that never learns of a change again after one such error. */
+        @Test
+        public void watchContinues() {
+            for (Throwable error :
+                    new Throwable[] {
+                        new OutOfMemoryError("no memory for a response"),
+                        new IllegalStateException("unexpected response")
+                    }) {
+                service.failWatches(error);
+                advance(1_000);
+                int heard = changes.size();
+                write("after-" + error);
+                advance(1_000);
+                assertEquals(changes.size(), heard + 1);
+            }
+        }
+    }
+
     /** Timing derived from the bounds of a fleet. */
     public static final class Timing {
         /**
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/LeasedKey.java
@@ -52,7 +52,7 @@
         if (stopped) {
             return;
         }
-        service.grantLease(leaseDuration).thenAccept(this::onLeaseGranted);
+        ContainedRequest.send(() -> service.grantLease(leaseDuration), this::onLeaseGranted);
     }
 
     /** Ends the registration and removes the key. Does not wait for the service. */
@@ -91,11 +91,13 @@
             return;
         }
         long keyLease = lease;
-        service.write(
-                        Vector.empty(),
-                        Vector.of(new KeyValueService.Put(key, value, keyLease)),
-                        Vector.empty())
-                .thenAccept(result -> onKeyWritten(keyLease, result));
+        ContainedRequest.send(
+                () ->
+                        service.write(
+                                Vector.empty(),
+                                Vector.of(new KeyValueService.Put(key, value, keyLease)),
+                                Vector.empty()),
+                result -> onKeyWritten(keyLease, result));
     }
 
     private void onKeyWritten(long keyLease, Either<Failure, KeyValueService.WriteResult> result) {
@@ -119,7 +121,7 @@
         if (stopped) {
             return;
         }
-        service.renewLease(lease).thenAccept(this::onLeaseRenewed);
+        ContainedRequest.send(() -> service.renewLease(lease), this::onLeaseRenewed);
     }
 
     private void onLeaseRenewed(Either<Failure, Boolean> result) {
--- a/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/keyvalue/PrefixWatcher.java
@@ -85,7 +85,7 @@
 
     private void list() {
         if (!stopped) {
-            service.list(prefix).thenAccept(this::onListResult);
+            ContainedRequest.send(() -> service.list(prefix), this::onListResult);
         }
     }
 
@@ -102,8 +102,9 @@
     private void watch(long afterRevision) {
         if (!stopped) {
             Duration wait = consecutiveFailures > 0 ? RECOVERY_WAIT : timing.get().longPoll();
-            service.watch(prefix, afterRevision, wait)
-                    .thenAccept(result -> onWatchResult(afterRevision, result));
+            ContainedRequest.send(
+                    () -> service.watch(prefix, afterRevision, wait),
+                    result -> onWatchResult(afterRevision, result));
         }
     }
 
