Break off a stream at the tokens reserved for its turn

Cause: a turn reserves its maximum of tokens before it runs and is settled at what was delivered; nothing compared the two meanwhile.

EventStreamRelay relays the events that the reserved tokens cover and breaks the stream off at the next one. Streams that reserve no tokens have no limit.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -299,6 +299,7 @@
                                 status,
                                 headers,
                                 turnState,
+                                maximumEvents(),
                                 memory,
                                 attempt::setReadingPaused)
                         : new BufferedResponseRelay(
@@ -399,15 +400,21 @@
      * an event stream.
      */
     private long deliveredTokens(EndpointRecord endpoint) {
-        long tokensPerEvent =
-                release.service(endpoint.service())
-                        .map(ServiceDefinition::tokensPerEvent)
-                        .getOrElse(0);
         return relay instanceof EventStreamRelay eventStream
-                ? eventStream.eventCount() * tokensPerEvent
+                ? eventStream.eventCount() * (long) tokensPerEvent(endpoint)
                 : 0;
     }
 
+    private int tokensPerEvent(EndpointRecord endpoint) {
+        return release.service(endpoint.service())
+                .map(ServiceDefinition::tokensPerEvent)
+                .getOrElse(0);
+    }
+
+    private long maximumEvents() {
+        return turnState.maximumEvents(tokensPerEvent(attempt.endpoint()));
+    }
+
     private void onDeadline() {
         endUnanswered("timed_out", new LocalResponse.TimedOut(), "deadline passed");
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EventStreamRelay.java
@@ -13,26 +13,40 @@
     private static final int MAXIMUM_OUTPUT_BYTES = 4 * 1024 * 1024;
 
     private final TurnState turn;
+    private final long maximumEvents;
     private final PacedResponse response;
     private final EventParser parser = new EventParser();
     private final ByteArrayOutputStream data = new ByteArrayOutputStream();
     private int eventCount;
     private boolean memoryGranted = true;
+    private boolean hasTooManyEvents;
 
+    /**
+     * Creates a relay.
+     *
+     * @param maximumEvents the events that the stream may have; further ones would be charged to a
+     *     token budget that has not been reserved for them
+     */
     EventStreamRelay(
             HttpServerExchange exchange,
             int status,
             HeaderMap headers,
             TurnState turn,
+            long maximumEvents,
             ResponseMemory memory,
             Consumer<Boolean> setReadingPaused) {
         this.turn = turn;
+        this.maximumEvents = maximumEvents;
         this.response = new PacedResponse(exchange, status, headers, memory, setReadingPaused);
     }
 
     @Override
     public void onBody(ByteBuffer bytes) {
         for (EventParser.Event event : parser.feed(bytes)) {
+            if (eventCount == maximumEvents) {
+                hasTooManyEvents = true;
+                return;
+            }
             eventCount++;
             if (turn.keepsHistory()) {
                 data.writeBytes(event.data());
@@ -70,7 +84,10 @@
 
     @Override
     public boolean isTooLong() {
-        return parser.isOverflowing() || data.size() > MAXIMUM_OUTPUT_BYTES || !memoryGranted;
+        return parser.isOverflowing()
+                || data.size() > MAXIMUM_OUTPUT_BYTES
+                || hasTooManyEvents
+                || !memoryGranted;
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/TurnState.java
@@ -188,6 +188,17 @@
         return bodyWithHistory;
     }
 
+    /**
+     * Returns the events that the reserved tokens cover; the last one may have fewer tokens than
+     * the others. Unlimited for a call that reserves none.
+     */
+    long maximumEvents(int tokensPerEvent) {
+        long reservedTokens = usesTokenBudget() ? call.turn().get().maximumTokens() : 0;
+        return reservedTokens > 0 && tokensPerEvent > 0
+                ? Math.ceilDiv(reservedTokens, tokensPerEvent)
+                : Long.MAX_VALUE;
+    }
+
     /** Records the tokens of the events passed to the response writer. */
     void recordDeliveredTokens(long tokens) {
         deliveredTokens = tokens;
