Count the bytes of earlier runs towards a compaction of the log

Cause: a compaction is due after a sixth of the disk has been appended, but opening a segment set the count to 0, which happens at each start and after each failed write. A log grew with the number of starts.

The bytes of the segments found at a start now count, and only a compaction sets the count to 0.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/disk/SegmentLogTest.java
@@ -56,6 +56,32 @@
         }
     }
 
+    /** Hosts that start again before they have appended enough bytes for a compaction. */
+    public static final class RepeatedRestarts {
+        private static final int RECORDS_BEFORE_COMPACTION = 10;
+        private static final long COMPACTION_BYTES = RECORDS_BEFORE_COMPACTION * 100L;
+        private static final int RECORDS_PER_RUN = 4;
+
+        /** Guards against a log that grows with each start, until no start has room for it. */
+        @Test
+        public void bytesOfEarlierRunsCountTowardsTheCompaction() throws Exception {
+            Path folder = Files.createTempDirectory("segment-log");
+            for (int run = 0; run < 10; run++) {
+                try (SegmentLog log = open(folder, COMPACTION_BYTES, new ArrayList<>())) {
+                    log.start(Vector::empty);
+                    for (int i = 0; i < RECORDS_PER_RUN; i++) {
+                        append(log, run * RECORDS_PER_RUN + i);
+                    }
+                }
+            }
+            List<RecordCodec.LoggedRecord> replayed = new ArrayList<>();
+            open(folder, Long.MAX_VALUE, replayed).close();
+            assertTrue(
+                    replayed.size() <= RECORDS_BEFORE_COMPACTION + RECORDS_PER_RUN,
+                    "records: " + replayed.size());
+        }
+    }
+
     /** Opening a folder that holds segments of earlier runs. */
     public static final class Restart {
         /** Guards against confirmed records that are missing after a restart. */
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/disk/SegmentLog.java
@@ -27,8 +27,9 @@
 
 /**
  * Append-only log in segment files. A single thread writes; records that arrive during a sync are
- * written as one batch and share the next sync. After a configured number of appended bytes, a
- * compaction writes the durable records to a new segment and deletes the older segments.
+ * written as one batch and share the next sync. After a configured number of appended bytes, also
+ * by earlier runs, a compaction writes the durable records to a new segment and deletes the older
+ * segments.
  */
 public final class SegmentLog implements RecordLog, AutoCloseable {
     private static final StructuredLog LOG = StructuredLog.of("disk");
@@ -56,6 +57,8 @@
     private Supplier<Seq<RecordCodec.LoggedRecord>> durableRecords;
     private FileChannel channel;
     private long nextSegmentNumber;
+
+    /** Bytes appended since the last compaction; after a start, all bytes of the segments. */
     private long appendedBytes;
 
     /**
@@ -166,6 +169,7 @@
                         .warn();
             }
             nextSegmentNumber = Math.max(nextSegmentNumber, segmentNumber(segment) + 1);
+            appendedBytes += Files.size(segment);
         }
     }
 
@@ -195,7 +199,6 @@
         channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         SegmentFile.syncFolder(folder);
         segments.add(file);
-        appendedBytes = 0;
     }
 
     @Override
@@ -283,6 +286,7 @@
             Files.deleteIfExists(segment);
         }
         segments.removeAll(oldSegments);
+        appendedBytes = 0;
         SegmentFile.syncFolder(folder);
         LOG.event("compacted").with("removed_segments", oldSegments.size()).info();
     }
