Leave expired turns out when the log is read at a start

ShardTable.restore now takes the time of day and leaves expired turns out. Charges are small, and those of a program are removed together, so that they are kept.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/StorageCluster.java
@@ -217,7 +217,7 @@
             retiring.forEach(host -> hostTable.setDraining(host, true));
             layouts = new LayoutHolder();
             ShardTable shards = new ShardTable(storageHost.store());
-            log.replay(shards::restore);
+            log.replay((shard, record) -> shards.restore(shard, record, scheduler.millis()));
             PeerChannel channel = process.channel(network.channelOf(storageHost.address()));
             FailureDetector failureDetector =
                     new FailureDetector(storageHost.host(), channel, process);
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -54,8 +54,10 @@
                         settings.dataFolder().get(),
                         settings.diskMegabytes() * 1_000_000L / COMPACTION_DIVISOR);
         shards = new ShardTable(recordLog.storeId());
+        long nowMillis = InstantSource.system().millis();
         long restoredRecords =
-                recordLog.replay(logged -> shards.restore(logged.shard(), logged.record()));
+                recordLog.replay(
+                        logged -> shards.restore(logged.shard(), logged.record(), nowMillis));
         recordLog.start(this::durableRecords);
         self =
                 new StorageHost(
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ShardTable.java
@@ -137,14 +137,24 @@
         return shards.computeIfAbsent(id, unused -> new Shard());
     }
 
-    /** Applies a record that was read from the log when the process started. */
-    public void restore(ShardId id, StoredRecord record) {
+    /**
+     * Applies a record that was read from the log when the process started. Leaves out turns that
+     * have expired: a log may hold many more of them than fit into the heap. Charges are small, and
+     * those of a program are removed together only.
+     *
+     * @param nowMillis the Unix time
+     */
+    public void restore(ShardId id, StoredRecord record, long nowMillis) {
         lock.run(
                 () -> {
-                    if (record instanceof StoredRecord.EpochEnd(Epoch epoch)) {
-                        shard(id).endEpoch(epoch);
-                    } else {
-                        shard(id).records.apply(record);
+                    switch (record) {
+                        case StoredRecord.EpochEnd(Epoch epoch) -> shard(id).endEpoch(epoch);
+                        case StoredRecord.Charge charge -> shard(id).records.apply(charge);
+                        case StoredRecord.Turn turn -> {
+                            if (turn.keepUntilMillis() >= nowMillis) {
+                                shard(id).records.apply(turn);
+                            }
+                        }
                     }
                 });
     }
