--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -54,6 +55,8 @@
 
     private static final String ANSWER = "Answer-Signature: sig\r\nCall-Id: ";
 
+    private static final int MAXIMUM_STARTS = 5;
+
     /** An entry host with one endpoint, stopped by the test. */
     abstract static class Fixture {
         ScriptedEndpoint endpoint;
@@ -79,13 +82,30 @@
                                     0),
                             StandaloneAdapter.registration(registration())),
                     Vector.empty());
-            HostSettings settings = settings();
-            callers = settings.callerAddress().get();
-            readiness = settings.readinessAddress().get();
-            node = EntryNode.start(settings, adapter);
+            startNode(adapter);
             waitUntilReady();
         }
 
+        /**
+         * Starts the host; one of its free ports may be taken by a connection before it listens
+         * there.
+         */
+        private void startNode(StandaloneAdapter adapter) throws IOException {
+            node = null;
+            for (int i = 1; node == null; i++) {
+                HostSettings settings = settings();
+                try {
+                    node = EntryNode.start(settings, adapter);
+                    callers = settings.callerAddress().get();
+                    readiness = settings.readinessAddress().get();
+                } catch (BindException e) {
+                    if (i == MAXIMUM_STARTS) {
+                        throw e;
+                    }
+                }
+            }
+        }
+
         /** Starts what the fixture of a nested class needs before the host. */
         void prepare() throws IOException {}
 
