Release the connection of a rejection before the call goes on

Cause: since a rejection counts at its head, the call went on before the end of the response was read and its connection was queued for release. A caller that came back within that moment met an empty pool.

What has arrived is now read first, so that the connection of a complete rejection is queued for release before the call goes on. A rejection without end still counts at once.

--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -135,8 +135,8 @@
 
     /** Ends the attempt at the head of a rejection: its body may be long or never end. */
     private void onRejection(AttemptOutcome.Cause cause) {
-        handle.discardBody();
-        listener.onNoResponse(new AttemptOutcome.Rejected(cause), "rejected by the endpoint");
+        AttemptOutcome rejected = new AttemptOutcome.Rejected(cause);
+        handle.discardBody(() -> listener.onNoResponse(rejected, "rejected by the endpoint"));
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ExchangeHandle.java
@@ -29,8 +29,11 @@
 
     /**
      * Ends the calls to the listener, and reads the rest of the response only in order to reuse the
-     * connection; closes it when that takes long. Called on the I/O thread, from {@link
-     * ResponseListener#onHead} on.
+     * connection; closes it when that takes long. To be called from {@link ResponseListener#onHead}
+     * only.
+     *
+     * @param onDiscarding runs once what has arrived was read, so that a connection whose response
+     *     is complete can be reused by whatever it starts
      */
-    void discardBody();
+    void discardBody(Runnable onDiscarding);
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -55,6 +55,7 @@
     private boolean serverKeepsConnection;
     private boolean paused;
     private boolean discarding;
+    private Runnable onDiscarding = () -> {};
     private long discardedBytes;
     private long idleTimeoutNanos;
 
@@ -202,6 +203,7 @@
                             usesIdleConnection));
             responseChannel.getReadSetter().set(channel -> readBody());
             readBody();
+            onDiscarding.run();
         }
 
         private boolean acceptsFraming(ClientResponse response) {
@@ -344,10 +346,8 @@
     }
 
     @Override
-    public void discardBody() {
-        if (finished) {
-            return;
-        }
+    public void discardBody(Runnable whenDiscarding) {
+        onDiscarding = whenDiscarding;
         discarding = true;
         setTimer(DISCARD_TIMEOUT, this::cancel);
     }
