Reject responses whose heads are outside of the grammar of HTTP

What callers saw: the answer of an endpoint whose head was spoilt where it tells the length of the body, or held a line that is no field, as a complete answer. A body of 5 bytes arrived as 3 after a repeated length; a body with the coding "gzip" or "chunked, chunked" arrived as it came, with its framing in it, once the endpoint closed; a folded line became part of the field before it. While the endpoint kept its connection open, the call waited for its timeout and got a 504.

Cause: Undertow's client was taken for the judge of what a response is. It takes the sign in "Content-Length: +5" for part of a number, the first of repeated lengths for the length, ignores each Transfer-Encoding that does not end in chunked, joins folded lines and reads any version. Interim heads were skipped without a look at their fields.

Change: ResponseHeadCheck reads the bytes of all heads, interim and final, before the client does and fails at the first byte outside of RFC 9110 and RFC 9112, so that no call waits for a line that does not end. FramingFields accepts one valid statement of a length or of the coding chunked, and none that contradicts the status or the version. The check lies in ResponseInputConduit, through which each response to this process comes: those of endpoints to calls, streams, resumed streams and forwarded calls, of the key-value service and of other hosts. TransportFailure.Malformed tells such a response from a broken connection; its connection is closed, and the outcome of the call is unknown: it is answered 502, or sent to another endpoint if it may run twice. tamarackfold_malformed_responses_total counts them, attempt_failed names endpoint, call and reason.

--- /dev/null
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
@@ -0,0 +1,266 @@
+package org.tamarackfold.caller.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.tamarackfold.log.CapturedLog;
+import org.tamarackfold.peer.ForwardReply;
+import org.tamarackfold.standin.http.ScriptedEndpoint;
+import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
+import org.tamarackfold.transport.ResponseForms;
+import org.testng.annotations.Test;
+
+/** Endpoints whose responses are outside of the grammar of HTTP, and sound ones close to it. */
+public final class MalformedResponsesTest {
+    private MalformedResponsesTest() {}
+
+    private static final String INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
+    private static final String REPEATED_LENGTH =
+            "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello";
+
+    /** Longer than the timeout of a route: only a connection that is closed ends it early. */
+    private static final Step OPEN = new Step.Pause(3_000);
+
+    private static String response(String form, String callId) {
+        return ResponseForms.fill(form, CallFixture.SIGNATURE + "\r\nCall-Id: " + callId + "\r\n");
+    }
+
+    private static Step scripted(String form, String callId) {
+        return new Step.Send(response(form, callId));
+    }
+
+    /** Waits until the host has closed so many connections before their response had ended. */
+    private static void awaitConnectionsClosed(ScriptedEndpoint endpoint, int count)
+            throws InterruptedException {
+        for (int i = 0; i < 400 && endpoint.connectionsClosedByClient() < count; i++) {
+            Thread.sleep(5);
+        }
+        assertEquals(endpoint.connectionsClosedByClient(), count);
+    }
+
+    /** Calls that may run once only. */
+    public static final class UnsafeCalls extends CallFixture {
+        private void assertUnknownOutcome(String route, Step... steps) throws IOException {
+            scriptAllEndpoints(steps);
+            String response = entry.call(route, "c1", "", "");
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+            assertFalse(response.contains("sig"), response);
+            assertEquals(entry.receivedCount(), 1);
+        }
+
+        /** Guards against a malformed head that is relayed, waited for, or sent again. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void head(String form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
+        }
+
+        /** Guards against a head that is checked only when it comes in one packet. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void headInTwoPackets(String form) throws IOException {
+            String response = response(form, "c1");
+            int cut = response.length() / 2;
+            assertUnknownOutcome(
+                    "unsafe",
+                    new Step.Send(response.substring(0, cut)),
+                    new Step.Pause(2),
+                    new Step.Send(response.substring(cut)),
+                    OPEN);
+        }
+
+        /** Guards against a malformed head that passes because its connection ends after it. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void headBeforeAClose(String form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(form, "c1"), new Step.Close());
+        }
+
+        /** Guards against a final head that is not checked because an interim one precedes it. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void headAfterAnInterimHead(String form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(INTERIM + form, "c1"), OPEN);
+        }
+
+        /** Guards against an interim head that is skipped without a look at its fields. */
+        @Test(dataProvider = "malformedInterimHeads", dataProviderClass = ResponseForms.class)
+        public void interimHead(String form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
+        }
+
+        /** Guards against a stream that starts although its head is malformed. */
+        @Test(dataProvider = "malformedFraming", dataProviderClass = ResponseForms.class)
+        public void headOfAStream(String form) throws IOException {
+            assertUnknownOutcome("stream", scripted(form.replace("hello", event(1)), "c1"), OPEN);
+        }
+    }
+
+    /** Calls that may run again. */
+    public static final class SafeCalls extends CallFixture {
+        /** Guards against failing a call that another endpoint can still answer. */
+        @Test
+        public void callIsSentToAnotherEndpoint() throws IOException {
+            for (String route : new String[] {"safe", "resumable"}) {
+                ScriptedEndpoint faulty = entry.endpoint();
+                ScriptedEndpoint sound = entry.endpoints.getLast();
+                int calls = 0;
+                while (faulty.received().isEmpty() && calls < 20) {
+                    String id = "c" + calls++;
+                    String body = event(1);
+                    faulty.respond(scripted(REPEATED_LENGTH, id), OPEN);
+                    sound.respond("200 OK", SIGNATURE + "\r\nCall-Id: " + id, body);
+                    String response = entry.call(route, id, "", "");
+                    assertTrue(response.startsWith("HTTP/1.1 200"), response);
+                    assertTrue(response.contains("word1"), response);
+                }
+                assertEquals(faulty.received().size(), 1);
+                assertEquals(sound.received().size(), calls);
+                entry.close();
+                start();
+            }
+        }
+    }
+
+    /** Connections on which a malformed response has come. */
+    public static final class Connections extends EndpointFaultsTest.SingleEndpoint {
+        private static final String SOUND =
+                "HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\none";
+
+        private Step.Send sound(String callId) {
+            return new Step.Send(response(SOUND, callId));
+        }
+
+        /** Guards against a malformed response that counts as one because others came before. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void reusedConnectionIsClosed(String form) throws Exception {
+            makeFirstCall(sound("c1"));
+            entry.endpoint().respond(scripted(form, "c2"), OPEN).respond(sound("c3"));
+            String response = entry.call("unsafe", "c2", "", "");
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+            assertTrue(entry.call("unsafe", "c3", "", "").endsWith("one"));
+            awaitConnectionsClosed(entry.endpoint(), 1);
+        }
+
+        /** Guards against a new connection that is kept after a malformed response. */
+        @Test
+        public void newConnectionIsClosed() throws Exception {
+            entry.endpoint().respond(scripted(REPEATED_LENGTH, "c1"), OPEN).respond(sound("c2"));
+            assertTrue(entry.call("unsafe", "c1", "", "").startsWith("HTTP/1.1 502"));
+            assertTrue(entry.call("unsafe", "c2", "", "").endsWith("one"));
+            awaitConnectionsClosed(entry.endpoint(), 1);
+        }
+
+        /** Guards against ending the connection of a caller whose endpoint is at fault. */
+        @Test
+        public void connectionOfTheCallerGoesOn() throws Exception {
+            entry.endpoint().respond(scripted(REPEATED_LENGTH, "c1"), OPEN).respond(sound("c2"));
+            try (Socket socket = entry.connect()) {
+                socket.setSoTimeout(3_000);
+                String first = exchange(socket, "c1");
+                assertTrue(first.startsWith("HTTP/1.1 502"), first);
+                assertFalse(first.contains("Connection: close"), first);
+                String second = exchange(socket, "c2");
+                assertTrue(second.startsWith("HTTP/1.1 200"), second);
+                assertTrue(second.endsWith("one"), second);
+            }
+        }
+
+        private static String exchange(Socket socket, String callId) throws IOException {
+            String request = EntryFixture.request("unsafe", callId, "", "");
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            StringBuilder received = new StringBuilder();
+            while (received.indexOf("\r\n\r\n") < 0) {
+                received.append((char) in.read());
+            }
+            String length = received.toString().split("(?i)content-length: ")[1].split("\r\n")[0];
+            byte[] body = in.readNBytes(Integer.parseInt(length));
+            return received + new String(body, StandardCharsets.ISO_8859_1);
+        }
+
+        /** Guards against a fault that an operator cannot find in the log and the metrics. */
+        @Test
+        public void faultIsLoggedAndCounted() throws IOException {
+            entry.endpoint().respond(scripted(REPEATED_LENGTH, "c1"), OPEN);
+            try (CapturedLog log = new CapturedLog()) {
+                entry.call("unsafe", "c1", "", "");
+                List<String> lines = log.linesOf("attempt_failed");
+                assertEquals(lines.size(), 1);
+                assertTrue(lines.getFirst().contains("call=c1"), lines.getFirst());
+                assertTrue(lines.getFirst().contains("endpoint=engine-0"), lines.getFirst());
+                assertTrue(lines.getFirst().contains("repeated Content-Length"), "" + lines);
+            }
+            String metrics = new String(entry.metrics.exposition(), StandardCharsets.UTF_8);
+            String counter = "tamarackfold_malformed_responses_total{service=\"service\"} 1.0";
+            assertTrue(metrics.contains(counter), metrics);
+        }
+    }
+
+    /** What sound endpoints send. */
+    public static final class SoundResponses extends EndpointFaultsTest.SingleEndpoint {
+        /** Guards against failing sound responses, and against connections closed after them. */
+        @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
+        public void responseIsRelayed(String form) throws IOException {
+            for (String id : new String[] {"c1", "c2"}) {
+                entry.endpoint().respond(scripted(form, id));
+                String response = entry.call("unsafe", id, "", "");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+                assertTrue(response.endsWith("hello"), response);
+            }
+            assertEquals(entry.endpoint().connectionsClosedByClient(), 0);
+        }
+
+        /** Guards against cutting a response after which its endpoint closes. */
+        @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
+        public void responseBeforeACloseIsRelayed(String form) throws IOException {
+            entry.endpoint()
+                    .respond(
+                            scripted(
+                                    form.replace("{fields}", "{fields}Connection: close\r\n"),
+                                    "c1"),
+                            new Step.Close());
+            String response = entry.call("unsafe", "c1", "", "");
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertTrue(response.endsWith("hello"), response);
+        }
+
+        /** Guards against losing a body whose end is the close of its connection. */
+        @Test
+        public void bodyWithoutLengthIsRelayed() throws IOException {
+            for (String version : new String[] {"HTTP/1.0", "HTTP/1.1"}) {
+                entry.endpoint()
+                        .respond(
+                                scripted(version + " 200 OK\r\n{fields}\r\nhello", "c1"),
+                                new Step.Close());
+                String response = entry.call("unsafe", "c1", "", "");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+                assertTrue(response.endsWith("hello"), response);
+            }
+        }
+    }
+
+    /** Calls that a host forwards for another one. */
+    public static final class ForwardedCalls extends ForwardFixture {
+        /** Guards against forwarding a malformed head, or calling the call not run. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void outcomeIsUnknown(String form) throws IOException {
+            endpoint.respond(scripted(form, "c1"), OPEN);
+            Result result = forward(call("c1").build());
+            assertTrue(result.last() instanceof ForwardReply.Unknown, "" + result.last());
+            assertEquals(endpoint.received().size(), 1);
+        }
+
+        /** Guards against failing sound responses. */
+        @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
+        public void soundResponseIsForwarded(String form) throws IOException {
+            endpoint.respond(scripted(form, "c1"));
+            Result result = forward(call("c1").build());
+            assertTrue(result.last() instanceof ForwardReply.Head, "" + result.last());
+            assertEquals(result.body(), "hello");
+            assertTrue(result.complete());
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -11,6 +11,7 @@
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
 import org.tamarackfold.id.CallId;
+import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.transport.ExchangeHandle;
 import org.tamarackfold.transport.HttpRequest;
 import org.tamarackfold.transport.PooledHttpClient;
@@ -35,6 +36,7 @@
     private final EndpointTable endpoints;
     private final RateLimitReader rateLimitReader;
     private final LeavingReader leavingReader;
+    private final HostMetrics metrics;
     private final Listener listener;
     private ExchangeHandle handle;
 
@@ -54,6 +56,7 @@
         this.endpoints = dependencies.endpoints();
         this.rateLimitReader = new RateLimitReader(headerNames.rateLimit(), endpoints);
         this.leavingReader = new LeavingReader(headerNames.leaving(), endpoints, client);
+        this.metrics = dependencies.metrics();
         this.listener = listener;
     }
 
@@ -159,6 +162,9 @@
 
     @Override
     public void onFailure(TransportFailure failure) {
+        if (failure instanceof TransportFailure.Malformed) {
+            metrics.recordMalformedResponse(endpoint.service().value());
+        }
         if (headAccepted) {
             listener.onResponseFailure(String.valueOf(failure));
             return;
@@ -170,6 +176,7 @@
                     case TransportFailure.ClosedBeforeResponse(String _) ->
                             new AttemptOutcome.Unknown();
                     case TransportFailure.Broken(String _) -> new AttemptOutcome.Unknown();
+                    case TransportFailure.Malformed(String _) -> new AttemptOutcome.Unknown();
                     case TransportFailure.TimedOut(boolean _) -> new AttemptOutcome.Unknown();
                 };
         listener.onNoResponse(outcome, String.valueOf(failure));
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -38,6 +38,11 @@
                     "deadline_reads",
                     "Calls of whose response the read at the deadline found something, by what.",
                     "found");
+    private final Counter malformedResponses =
+            counter(
+                    "malformed_responses",
+                    "Responses of endpoints outside of the grammar of HTTP, by service.",
+                    "service");
     private final Counter permitDecisions =
             counter(
                     "permit_decisions",
@@ -168,6 +173,11 @@
         attempts.labelValues(service, outcome).inc();
     }
 
+    /** Counts a response of an endpoint of the given service that is no response of HTTP. */
+    public void recordMalformedResponse(String service) {
+        malformedResponses.labelValues(service).inc();
+    }
+
     /** Counts an attempt of a call at an endpoint of the given service that states a rate limit. */
     public void recordLimitedAttempt(String service) {
         limitedAttempts.labelValues(service).inc();
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/FieldSectionCheck.java
@@ -0,0 +1,111 @@
+package org.tamarackfold.transport;
+
+import io.vavr.control.Option;
+
+/**
+ * Checks the fields of a head or of trailers (RFC 9112, 5) byte by byte, up to the empty line that
+ * ends them. Folded lines and lines that end without a carriage return are refused, as the RFC
+ * allows. Fails at the first wrong byte, since no further one may come. Not thread-safe.
+ */
+final class FieldSectionCheck {
+    private enum State {
+        LINE_START,
+        NAME,
+        VALUE,
+        LINE_END,
+        SECTION_END,
+        COMPLETE
+    }
+
+    /** Longer names are those of no field whose value matters here. */
+    private static final int MAXIMUM_KEPT_NAME_LENGTH = 32;
+
+    private final StringBuilder name = new StringBuilder(MAXIMUM_KEPT_NAME_LENGTH);
+
+    /** The value of a field that states how a body is framed; otherwise none. */
+    private Option<StringBuilder> value = Option.none();
+
+    private FramingFields framing = new FramingFields();
+    private State state = State.COMPLETE;
+
+    /** Expects the first line. */
+    void start() {
+        state = State.LINE_START;
+        framing = new FramingFields();
+    }
+
+    /** Returns whether the empty line at the end has been checked. */
+    boolean isComplete() {
+        return state == State.COMPLETE;
+    }
+
+    /** Returns what the fields checked so far state about a body. */
+    FramingFields framing() {
+        return framing;
+    }
+
+    /**
+     * Checks the next byte.
+     *
+     * @param next the byte, from 0 to 255
+     * @throws MalformedResponseException when it cannot be part of the fields
+     */
+    void check(int next) throws MalformedResponseException {
+        state =
+                switch (state) {
+                    case LINE_START -> next == '\r' ? State.SECTION_END : firstOfName(next);
+                    case NAME -> next == ':' ? afterName() : inName(next);
+                    case VALUE -> next == '\r' ? afterValue() : inValue(next);
+                    case LINE_END -> afterLineFeed(next, State.LINE_START);
+                    case SECTION_END -> afterLineFeed(next, State.COMPLETE);
+                    case COMPLETE -> throw new IllegalStateException("fields are complete");
+                };
+    }
+
+    private State firstOfName(int next) throws MalformedResponseException {
+        name.setLength(0);
+        return inName(next);
+    }
+
+    private State inName(int next) throws MalformedResponseException {
+        if (!HttpCharacters.isToken(next)) {
+            throw new MalformedResponseException("line that is no field");
+        }
+        if (name.length() < MAXIMUM_KEPT_NAME_LENGTH) {
+            name.append((char) next);
+        }
+        return State.NAME;
+    }
+
+    private State afterName() {
+        value =
+                FramingFields.includes(name.toString())
+                        ? Option.some(new StringBuilder())
+                        : Option.none();
+        return State.VALUE;
+    }
+
+    private State inValue(int next) throws MalformedResponseException {
+        if (!HttpCharacters.isText(next)) {
+            throw new MalformedResponseException("control character in the value of a field");
+        }
+        value.forEach(kept -> kept.append((char) next));
+        return State.VALUE;
+    }
+
+    private State afterValue() throws MalformedResponseException {
+        if (value.isDefined()) {
+            framing.add(name.toString(), HttpCharacters.trim(value.get()));
+            value = Option.none();
+        }
+        return State.LINE_END;
+    }
+
+    private static State afterLineFeed(int next, State following)
+            throws MalformedResponseException {
+        if (next != '\n') {
+            throw new MalformedResponseException("carriage return without line feed");
+        }
+        return following;
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/FramingFields.java
@@ -0,0 +1,102 @@
+package org.tamarackfold.transport;
+
+import io.vavr.control.Option;
+
+/**
+ * What the fields of a head or of trailers state about the length and the coding of the body. A
+ * statement counts only if it is valid and the only one: recipients that choose among several find
+ * different bodies.
+ */
+final class FramingFields {
+    private static final String CONTENT_LENGTH = "Content-Length";
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+
+    /** The only coding that a server may apply unless the request allows others. */
+    private static final String CHUNKED = "chunked";
+
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private Option<Long> length = Option.none();
+    private boolean chunked;
+
+    /** Returns whether fields of this name state how a body is framed. */
+    static boolean includes(String name) {
+        return CONTENT_LENGTH.equalsIgnoreCase(name) || TRANSFER_ENCODING.equalsIgnoreCase(name);
+    }
+
+    /**
+     * Adds a field.
+     *
+     * @param value the value without white space around it
+     * @throws MalformedResponseException when the value is not valid, or the field is repeated
+     */
+    void add(String name, String value) throws MalformedResponseException {
+        if (CONTENT_LENGTH.equalsIgnoreCase(name)) {
+            addLength(value);
+        } else if (TRANSFER_ENCODING.equalsIgnoreCase(name)) {
+            addCoding(value);
+        }
+    }
+
+    private void addLength(String value) throws MalformedResponseException {
+        if (length.isDefined()) {
+            throw new MalformedResponseException("repeated Content-Length");
+        }
+        if (value.isEmpty() || !value.chars().allMatch(HttpCharacters::isDigit)) {
+            throw new MalformedResponseException("Content-Length that is no number");
+        }
+        try {
+            length = Option.some(Long.parseLong(value));
+        } catch (NumberFormatException e) {
+            throw new MalformedResponseException("Content-Length of 8 EiB or more");
+        }
+    }
+
+    private void addCoding(String value) throws MalformedResponseException {
+        if (chunked) {
+            throw new MalformedResponseException("repeated Transfer-Encoding");
+        }
+        if (!CHUNKED.equalsIgnoreCase(value)) {
+            throw new MalformedResponseException("Transfer-Encoding other than chunked");
+        }
+        chunked = true;
+    }
+
+    /** Returns whether any of the fields states how a body is framed. */
+    boolean areStated() {
+        return chunked || length.isDefined();
+    }
+
+    /**
+     * Returns how the body of a response with these fields is framed.
+     *
+     * @param minorVersion the minor version of HTTP/1 that the response states
+     * @param answersHead whether the response is one to a HEAD request
+     * @throws MalformedResponseException when the fields contradict each other, the status or the
+     *     version
+     */
+    BodyFraming of(int status, int minorVersion, boolean answersHead)
+            throws MalformedResponseException {
+        if (chunked && length.isDefined()) {
+            throw new MalformedResponseException("both Content-Length and Transfer-Encoding");
+        }
+        if (chunked && minorVersion == 0) {
+            throw new MalformedResponseException("Transfer-Encoding in HTTP/1.0");
+        }
+        boolean neverHasBody = status < FIRST_FINAL_STATUS || status == NO_CONTENT;
+        if (neverHasBody && (chunked || length.exists(bytes -> bytes > 0))) {
+            throw new MalformedResponseException("status " + status + " with a body");
+        }
+        if (neverHasBody || status == NOT_MODIFIED || answersHead) {
+            return new BodyFraming.NoBody();
+        }
+        if (chunked) {
+            return new BodyFraming.Chunks();
+        }
+        return length.isDefined()
+                ? new BodyFraming.Length(length.get())
+                : new BodyFraming.UntilClose();
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpCharacters.java
@@ -0,0 +1,55 @@
+package org.tamarackfold.transport;
+
+import java.util.BitSet;
+
+/** The characters that the parts of a message consist of (RFC 9110, 5.5 and 5.6.2). */
+final class HttpCharacters {
+    private static final int DELETE = 0x7f;
+    private static final int MAXIMUM_BYTE = 0xff;
+    private static final BitSet TOKEN = tokenCharacters();
+
+    private HttpCharacters() {}
+
+    private static BitSet tokenCharacters() {
+        BitSet characters = new BitSet();
+        characters.set('0', '9' + 1);
+        characters.set('A', 'Z' + 1);
+        characters.set('a', 'z' + 1);
+        "!#$%&'*+-.^_`|~".chars().forEach(characters::set);
+        return characters;
+    }
+
+    /** Returns whether a character may be part of a token, such as the name of a field. */
+    static boolean isToken(int character) {
+        return TOKEN.get(character);
+    }
+
+    /** Returns whether a character may be part of the value of a field, or of a reason phrase. */
+    static boolean isText(int character) {
+        return character >= ' ' && character <= MAXIMUM_BYTE && character != DELETE
+                || character == '\t';
+    }
+
+    /** Returns whether a character is a digit; digits of other scripts are none. */
+    static boolean isDigit(int character) {
+        return character >= '0' && character <= '9';
+    }
+
+    /** Returns the value of a field without the white space that may stand around it. */
+    static String trim(CharSequence value) {
+        int start = 0;
+        int end = value.length();
+        while (start < end && isWhitespace(value.charAt(start))) {
+            start++;
+        }
+        while (start < end && isWhitespace(value.charAt(end - 1))) {
+            end--;
+        }
+        return value.subSequence(start, end).toString();
+    }
+
+    /** Returns whether a character is a space or a tab. */
+    static boolean isWhitespace(int character) {
+        return character == ' ' || character == '\t';
+    }
+}
--- /dev/null
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
@@ -0,0 +1,137 @@
+package org.tamarackfold.transport;
+
+import java.nio.ByteBuffer;
+
+/**
+ * Checks that the heads of a response, interim ones and the final one, are in the grammar of
+ * HTTP/1.1 (RFC 9110, RFC 9112), and finds out how the body is framed. All responses that this
+ * process reads pass it before any client library parses them: a library that guesses what a
+ * malformed head means makes a response of it that the server has not sent. Fails at the first
+ * wrong byte, since no further one may come. Not thread-safe.
+ */
+final class ResponseHeadCheck {
+    /** The beginning of a status line, in which {@link #ANY_DIGIT} stands for each digit. */
+    private static final String STATUS_LINE_FORM = "HTTP/1.# ### ";
+
+    private static final char ANY_DIGIT = '#';
+    private static final int MINOR_VERSION_OFFSET = "HTTP/1.".length();
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    private enum State {
+        STATUS_LINE,
+        REASON_PHRASE,
+        STATUS_LINE_END,
+        FIELDS,
+        COMPLETE
+    }
+
+    private final FieldSectionCheck fields = new FieldSectionCheck();
+
+    /** Also set while no response is expected. */
+    private State state = State.COMPLETE;
+
+    private boolean answersHead;
+
+    /** The position in the fixed beginning of the status line. */
+    private int position;
+
+    private int minorVersion;
+    private int status;
+    private BodyFraming framing = new BodyFraming.NoBody();
+
+    /**
+     * Expects the heads of the next response.
+     *
+     * @param respondsToHead whether the request has the method HEAD
+     */
+    void startResponse(boolean respondsToHead) {
+        answersHead = respondsToHead;
+        startHead();
+    }
+
+    private void startHead() {
+        state = State.STATUS_LINE;
+        position = 0;
+        status = 0;
+    }
+
+    /** Returns whether the final head is complete, or no response is expected. */
+    boolean isComplete() {
+        return state == State.COMPLETE;
+    }
+
+    /** Returns how the body of the response is framed, after its final head is complete. */
+    BodyFraming framing() {
+        return framing;
+    }
+
+    /**
+     * Checks the bytes of a buffer from an offset to its position.
+     *
+     * @return the offset of the first byte after the final head; the position if there is none
+     * @throws MalformedResponseException when the bytes cannot be part of a head
+     */
+    int check(ByteBuffer buffer, int offset) throws MalformedResponseException {
+        int next = offset;
+        while (next < buffer.position() && state != State.COMPLETE) {
+            check(Byte.toUnsignedInt(buffer.get(next++)));
+        }
+        return next;
+    }
+
+    private void check(int next) throws MalformedResponseException {
+        switch (state) {
+            case STATUS_LINE -> checkStatusLine(next);
+            case REASON_PHRASE -> checkReasonPhrase(next);
+            case STATUS_LINE_END -> endStatusLine(next);
+            case FIELDS -> checkFields(next);
+            case COMPLETE -> throw new IllegalStateException("head is complete");
+        }
+    }
+
+    private void checkStatusLine(int next) throws MalformedResponseException {
+        char expected = STATUS_LINE_FORM.charAt(position);
+        boolean isDigit = expected == ANY_DIGIT;
+        if (isDigit ? !HttpCharacters.isDigit(next) : next != expected) {
+            throw new MalformedResponseException("no status line of HTTP/1");
+        }
+        if (position == MINOR_VERSION_OFFSET) {
+            minorVersion = next - '0';
+        } else if (isDigit) {
+            status = 10 * status + next - '0';
+        }
+        position++;
+        if (position == STATUS_LINE_FORM.length()) {
+            state = State.REASON_PHRASE;
+        }
+    }
+
+    private void checkReasonPhrase(int next) throws MalformedResponseException {
+        if (next == '\r') {
+            state = State.STATUS_LINE_END;
+        } else if (!HttpCharacters.isText(next)) {
+            throw new MalformedResponseException("control character in the status line");
+        }
+    }
+
+    private void endStatusLine(int next) throws MalformedResponseException {
+        if (next != '\n') {
+            throw new MalformedResponseException("carriage return without line feed");
+        }
+        fields.start();
+        state = State.FIELDS;
+    }
+
+    private void checkFields(int next) throws MalformedResponseException {
+        fields.check(next);
+        if (!fields.isComplete()) {
+            return;
+        }
+        framing = fields.framing().of(status, minorVersion, answersHead);
+        if (status < FIRST_FINAL_STATUS) {
+            startHead();
+        } else {
+            state = State.COMPLETE;
+        }
+    }
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
@@ -6,16 +6,19 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Prepares the bytes of responses for Undertow's client. Removes interim heads, which the client
- * takes for the final one, except those with status 100. Limits the bytes in a row that belong to
- * no body: heads, the framing of chunks, trailers, and what follows a response. The client has no
- * such limit: bytes without end would fill the memory and, since it parses as long as there are
- * any, occupy the I/O thread. Checks the framing of chunks. Used on one I/O thread only.
+ * Prepares the bytes of responses for Undertow's client. Checks heads and the framing of chunks:
+ * what fails a check does not reach the client, which would take some of it for another response
+ * than was sent. Removes interim heads, which the client takes for the final one, except those with
+ * status 100. Limits the bytes in a row that belong to no body: heads, the framing of chunks,
+ * trailers, and what follows a response. The client has no such limit: bytes without end would fill
+ * the memory and, since it parses as long as there are any, occupy the I/O thread. Used on one I/O
+ * thread only.
  */
 final class ResponseInputConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** More than the heads of well-known servers, whose own limits are 8 to 64 KiB. */
     private static final long MAXIMUM_BYTES_WITHOUT_BODY = 64 * 1024;
 
+    private final ResponseHeadCheck heads = new ResponseHeadCheck();
     private final InterimHeadFilter interimHeads = new InterimHeadFilter();
     private final ChunkFramingCheck framing = new ChunkFramingCheck();
 
@@ -29,10 +32,15 @@
         super(next);
     }
 
-    /** Expects a response. */
-    void startResponse() {
+    /**
+     * Expects a response.
+     *
+     * @param respondsToHead whether the request has the method HEAD
+     */
+    void startResponse(boolean respondsToHead) {
         bytesWithoutBody = 0;
         chunked = false;
+        heads.startResponse(respondsToHead);
         interimHeads.startResponse();
         framing.startResponse();
     }
@@ -49,7 +57,8 @@
 
     private void checkFraming() throws IOException {
         if (chunked && framing.isMalformed()) {
-            throw new IOException("the body is not framed in chunks as its head states");
+            throw new MalformedResponseException(
+                    "the body is not framed in chunks as its head states");
         }
     }
 
@@ -74,15 +83,18 @@
     @Override
     public int read(ByteBuffer buffer) throws IOException {
         int offset = buffer.position();
-        int count = interimHeads.isFinalHeadReached() ? readFinal(buffer) : readHeads(buffer);
+        int count = interimHeads.isFinalHeadReached() ? readChecked(buffer) : readHeads(buffer);
         framing.check(buffer, offset);
         checkFraming();
         return count;
     }
 
-    private int readFinal(ByteBuffer buffer) throws IOException {
+    /** Reads bytes of the server and checks them, before any of them are removed. */
+    private int readChecked(ByteBuffer buffer) throws IOException {
+        int offset = buffer.position();
         int count = super.read(buffer);
         checkLimit(count);
+        heads.check(buffer, offset);
         return count;
     }
 
@@ -90,12 +102,11 @@
     private int readHeads(ByteBuffer buffer) throws IOException {
         int offset = buffer.position();
         buffer.put(interimHeads.takeUndecided());
-        int count = super.read(buffer);
+        int count = readChecked(buffer);
         if (count <= 0) {
             interimHeads.holdBack(buffer, offset);
             return count;
         }
-        checkLimit(count);
         interimHeads.removeInterimHeads(buffer, offset);
         return buffer.position() - offset;
     }
@@ -121,7 +132,7 @@
         }
         bytesWithoutBody += count;
         if (bytesWithoutBody > MAXIMUM_BYTES_WITHOUT_BODY) {
-            throw new IOException(
+            throw new MalformedResponseException(
                     "more than "
                             + MAXIMUM_BYTES_WITHOUT_BODY
                             + " bytes in a row belong to no response body");
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/TransportFailure.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/TransportFailure.java
@@ -25,6 +25,14 @@
      */
     record Broken(String reason) implements TransportFailure {}
 
+    /**
+     * The request was sent, at least in part, and the server sent bytes that are no response in the
+     * grammar of HTTP/1.1. The connection works, but nothing that came on it can be trusted.
+     *
+     * @param reason what is malformed, for logs
+     */
+    record Malformed(String reason) implements TransportFailure {}
+
     /**
      * The response was not complete within the response timeout.
      *
