Reject responses whose status is out of range

What callers saw: the answer of an endpoint with a status such as 600 or 999, as it came.

Cause: only statuses below 200 were rejected, after the client had parsed the head. RFC 9110, 15 ends the range at 599; what a recipient should do about others is to treat them as a server error, which a 502 is.

Change: ResponseHeadCheck checks the status where it reads the status line, so that one place decides; the check in HttpExchange and the special case for 101 in InterimHeadFilter are gone.

Checked: MalformedResponsesTest, ResponseHeadCheckTest and InterimResponsesTest pass.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
@@ -130,11 +130,17 @@
                         .map(ResponseForms::withLine));
     }
 
-    /** Heads whose status line is not valid. */
+    /** Heads whose status line is not valid, or whose status no final response can have. */
     @DataProvider
     public static Object[][] malformedStatusLines() {
         return rows(
                 Stream.of(
+                                "HTTP/1.1 000 OK",
+                                "HTTP/1.1 001 OK",
+                                "HTTP/1.1 099 OK",
+                                "HTTP/1.1 600 OK",
+                                "HTTP/1.1 999 OK",
+                                "HTTP/1.1 101 Switching Protocols",
                                 "HTTP/1.1 20 OK",
                                 "HTTP/1.1 2000 OK",
                                 "HTTP/1.1 20x OK",
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
@@ -139,7 +139,7 @@
         private static final String TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]*";
         private static final Pattern HEAD =
                 Pattern.compile(
-                        "HTTP/1\\.([0-9]) ([2-9][0-9][0-9]) %s\\r\\n((?:[%s]+:%s\\r\\n)*)\\r\\n"
+                        "HTTP/1\\.([0-9]) ([2-5][0-9][0-9]) %s\\r\\n((?:[%s]+:%s\\r\\n)*)\\r\\n"
                                 .formatted(TEXT, "-!#$%&'*+.^_`|~0-9A-Za-z", TEXT));
 
         private static final String[] HEADS = {
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -28,9 +28,6 @@
      */
     private static final int MAXIMUM_PARTS_IN_A_ROW = 16;
 
-    /** Lower statuses are those of interim responses. */
-    private static final int FIRST_FINAL_STATUS = 200;
-
     /** Bytes of a discarded body that are read to save the connection. */
     private static final long MAXIMUM_DISCARDED_BYTES = 64 * 1024;
 
@@ -190,12 +187,6 @@
             }
             headSeen = true;
             ClientResponse response = exchange.getResponse();
-            if (response.getResponseCode() < FIRST_FINAL_STATUS) {
-                fail(
-                        new TransportFailure.Broken(
-                                "unexpected status " + response.getResponseCode()));
-                return;
-            }
             if (!acceptsFraming(response)) {
                 return;
             }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/InterimHeadFilter.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/InterimHeadFilter.java
@@ -110,13 +110,6 @@
         if (length < DECISIVE_BYTES) {
             return HeadKind.UNDECIDED;
         }
-        return isSwitchingProtocols(buffer, offset + STATUS_OFFSET)
-                ? HeadKind.FINAL
-                : HeadKind.INTERIM;
-    }
-
-    /** After status 101 no other response follows on the connection. */
-    private static boolean isSwitchingProtocols(ByteBuffer buffer, int statusOffset) {
-        return buffer.get(statusOffset + 1) == '0' && buffer.get(statusOffset + 2) == '1';
+        return HeadKind.INTERIM;
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
@@ -15,7 +15,10 @@
 
     private static final char ANY_DIGIT = '#';
     private static final int MINOR_VERSION_OFFSET = "HTTP/1.".length();
+    private static final int SWITCHING_PROTOCOLS = 101;
+    private static final int FIRST_STATUS = 100;
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
 
     private enum State {
         STATUS_LINE,
@@ -102,10 +105,21 @@
         }
         position++;
         if (position == STATUS_LINE_FORM.length()) {
+            checkStatus();
             state = State.REASON_PHRASE;
         }
     }
 
+    private void checkStatus() throws MalformedResponseException {
+        if (status < FIRST_STATUS || status > LAST_STATUS) {
+            throw new MalformedResponseException("status " + status + " out of range");
+        }
+        if (status == SWITCHING_PROTOCOLS) {
+            // No request of this process asks for another protocol.
+            throw new MalformedResponseException("status " + SWITCHING_PROTOCOLS + " unasked");
+        }
+    }
+
     private void checkReasonPhrase(int next) throws MalformedResponseException {
         if (next == '\r') {
             state = State.STATUS_LINE_END;
