Check chunk lines and trailers against the grammar

What callers saw: a body as complete although its chunks or trailers were malformed: a size that is too large by one, so that a carriage return became part of the body, lines that end with a bare line feed, a malformed extension, a trailer without a name or with a blank or a control byte in it, and a trailer that states a length or a coding. A bare carriage return after a size let the call wait for its timeout.

Cause: ChunkFramingCheck looked at the digits of a size and skipped the rest of its line, accepted any carriage returns before a line feed, and ended at the last chunk. Undertow's client drops malformed trailers.

A body that is cut off in its trailers was no success before (trailersCutOff); the test stays.

Change: ChunkFramingCheck follows RFC 9112, 7.1 to the end of the trailers, with ChunkExtensionCheck for extensions and the FieldSectionCheck of heads for trailers. ResponseHeadCheck tells it that a chunked body begins, so that HttpExchange no longer interprets Transfer-Encoding.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
@@ -91,11 +91,54 @@
             assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
         }
 
+        /** Guards against chunks and trailers that end a body elsewhere than the endpoint did. */
+        @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
+        public void chunks(String form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
+        }
+
         /** Guards against a stream that starts although its head is malformed. */
         @Test(dataProvider = "malformedFraming", dataProviderClass = ResponseForms.class)
         public void headOfAStream(String form) throws IOException {
             assertUnknownOutcome("stream", scripted(form.replace("hello", event(1)), "c1"), OPEN);
         }
+
+        /** Guards against a body that ends in the middle of its trailers and counts as complete. */
+        @Test
+        public void trailersCutOff() throws IOException {
+            String whole = "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n";
+            for (String end : new String[] {"0\r\n", "0\r\nX-T: 1\r\n", "0\r\n\r", "0\r\nX-T"}) {
+                assertUnknownOutcome(
+                        "unsafe", scripted(whole + "5\r\nhello\r\n" + end, "c1"), new Step.Close());
+                entry.close();
+                start();
+            }
+        }
+    }
+
+    /** Streams whose framing is malformed after their first events. */
+    public static final class Streams extends CallFixture {
+        private static final String HEAD =
+                "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n";
+
+        /** Guards against a stream that looks complete at malformed trailers. */
+        @Test
+        public void malformedTrailersAbortTheStream() throws IOException {
+            for (String trailers :
+                    new String[] {"no field\r\n", "X T: 1\r\n", "X: \u0001\r\n", "X: 1\n"}) {
+                scriptAllEndpoints(
+                        scripted(HEAD, "c1"),
+                        chunk(event(1)),
+                        new Step.Pause(20),
+                        new Step.Send("0\r\n" + trailers + "\r\n"),
+                        OPEN);
+                String response = entry.call("stream", "c1", "", "");
+                assertTrue(response.contains("word1"), response);
+                assertFalse(response.endsWith("0\r\n\r\n"), response);
+                entry.close();
+                start();
+            }
+        }
     }
 
     /** Calls that may run again. */
@@ -253,6 +296,16 @@
             assertEquals(endpoint.received().size(), 1);
         }
 
+        /** Guards against a body that looks whole to the other host at malformed chunks. */
+        @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
+        public void malformedChunksBreakTheConnectionOff(String form) throws IOException {
+            endpoint.respond(scripted(form, "c1"), OPEN);
+            Result result = forward(call("c1").build());
+            assertTrue(
+                    result.last() instanceof ForwardReply.Unknown || !result.complete(),
+                    "" + result);
+        }
+
         /** Guards against failing sound responses. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
         public void soundResponseIsForwarded(String form) throws IOException {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
@@ -219,6 +219,49 @@
                         .map(interim -> interim + framedBy("Content-Length: 5")));
     }
 
+    /** Chunked bodies whose framing or trailers are outside of the grammar. */
+    @DataProvider
+    public static Object[][] malformedChunks() {
+        return rows(
+                Stream.of(
+                                "5\nhello\r\n0\r\n\r\n",
+                                "5\r\nhello\n0\r\n\r\n",
+                                "5\r\nhello\r\r\n0\r\n\r\n",
+                                "5\r\nhello\r\n0\n\r\n",
+                                "5\r\rhello\r\n0\r\n\r\n",
+                                "5 \r\nhello\r\n0\r\n\r\n",
+                                " 5\r\nhello\r\n0\r\n\r\n",
+                                "+5\r\nhello\r\n0\r\n\r\n",
+                                "0x5\r\nhello\r\n0\r\n\r\n",
+                                "5x\r\nhello\r\n0\r\n\r\n",
+                                ";a=b\r\nhello\r\n0\r\n\r\n",
+                                "5;\r\nhello\r\n0\r\n\r\n",
+                                "5;a=\r\nhello\r\n0\r\n\r\n",
+                                "5;a b\r\nhello\r\n0\r\n\r\n",
+                                "5;a=b\u0000\r\nhello\r\n0\r\n\r\n",
+                                "5;a=\"b\r\nhello\r\n0\r\n\r\n",
+                                "5;a=b\nhello\r\n0\r\n\r\n",
+                                "ffffffffffffffff5\r\nhello\r\n0\r\n\r\n",
+                                "6\r\nhello\r\n0\r\n\r\n",
+                                "4\r\nhello\r\n0\r\n\r\n",
+                                "5\r\nhello0\r\n\r\n",
+                                "5\r\nhello\r\n\r\n0\r\n\r\n",
+                                "5\r\nhello\r\nzero\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nno field\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nX Trailer: 1\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nX-Trailer : 1\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nX-Tra\u0001iler: 1\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nX-Trailer: \u0000\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nX-Trailer: 1\n\r\n",
+                                "5\r\nhello\r\n0\r\nX-Trailer: 1\r\n 2\r\n\r\n",
+                                "5\r\nhello\r\n0\r\n: 1\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nContent-Length: 5\r\n\r\n",
+                                "5\r\nhello\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                "5\r\nhello\r\n0\r\n\n",
+                                "5\r\nhello\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n")
+                        .map(CHUNKED::concat));
+    }
+
     /** Responses of sound servers whose body is {@code hello}; none ends with its connection. */
     @DataProvider
     public static Object[][] soundResponses() {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
@@ -14,7 +14,7 @@
 import java.util.regex.Pattern;
 import org.testng.annotations.Test;
 
-/** The grammar of the heads of responses, without a network. */
+/** The grammar of the heads and the chunks of responses, without a network. */
 public final class ResponseHeadCheckTest {
     private ResponseHeadCheckTest() {}
 
@@ -30,11 +30,19 @@
     private static BodyFraming check(byte[] response, int partBytes, boolean respondsToHead)
             throws MalformedResponseException {
         ResponseHeadCheck heads = new ResponseHeadCheck();
+        ChunkFramingCheck chunks = new ChunkFramingCheck();
         heads.startResponse(respondsToHead);
         for (int start = 0; start < response.length; start += partBytes) {
             int length = Math.min(partBytes, response.length - start);
             ByteBuffer part = ByteBuffer.allocate(length).put(response, start, length);
-            heads.check(part, 0);
+            boolean headExpected = !heads.isComplete();
+            int afterHead = heads.check(part, 0);
+            if (headExpected
+                    && heads.isComplete()
+                    && heads.framing() instanceof BodyFraming.Chunks) {
+                chunks.startBody();
+            }
+            chunks.check(part, afterHead);
         }
         return heads.isComplete() ? heads.framing() : null;
     }
@@ -46,7 +54,7 @@
         }
     }
 
-    /** Heads that are outside of the grammar, in parts of any size. */
+    /** Heads and chunks that are outside of the grammar, in parts of any size. */
     public static final class Malformed {
         /** Guards against a head that a client library would interpret in its own way. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
@@ -65,6 +73,12 @@
         public void headAfterAnInterimHead(String form) {
             assertMalformed("HTTP/1.1 102 Processing\r\nLink: </a>\r\n\r\n" + form);
         }
+
+        /** Guards against a body that ends elsewhere than the server has ended it. */
+        @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
+        public void chunks(String form) {
+            assertMalformed(form);
+        }
     }
 
     /** Heads that state how their body is framed. */
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ChunkFramingCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ChunkFramingCheck.java
@@ -3,99 +3,132 @@
 import java.nio.ByteBuffer;
 
 /**
- * Checks the framing of a chunked body (RFC 9112, 7.1) while its bytes arrive. Undertow's client
- * takes a size line without any digit for the last chunk, so that foreign bytes in the middle of a
- * body would end it as complete. Starts after the head of a response. Not thread-safe.
+ * Checks the framing of a chunked body and its trailers (RFC 9112, 7.1) while its bytes arrive.
+ * Undertow's client takes a size line without any digit for the last chunk, so that foreign bytes
+ * in the middle of a body would end it as complete. Not thread-safe.
  */
 final class ChunkFramingCheck {
     private enum State {
-        HEAD,
         SIZE_START,
         SIZE,
+        EXTENSIONS,
         SIZE_LINE_END,
         DATA,
         DATA_END,
-        /** Trailers and what follows; Undertow's client reads the trailers to their empty line. */
-        LAST_CHUNK_SEEN,
-        MALFORMED
+        DATA_LINE_END,
+        TRAILERS,
+        COMPLETE
     }
 
     /** Sizes above this are no sizes of chunks; keeps the sum of digits from overflowing. */
     private static final long MAXIMUM_CHUNK_BYTES = 1L << 40;
 
-    private State state = State.LAST_CHUNK_SEEN;
-    private boolean lineIsEmpty;
+    private final ChunkExtensionCheck extensions = new ChunkExtensionCheck();
+    private final FieldSectionCheck trailers = new FieldSectionCheck();
+
+    /** Also set while no chunked body is expected. */
+    private State state = State.COMPLETE;
+
     private long chunkBytes;
 
-    /** Expects the final head of the next response. */
-    void startResponse() {
-        state = State.HEAD;
-        lineIsEmpty = false;
+    /** Expects a chunked body. */
+    void startBody() {
+        state = State.SIZE_START;
     }
 
-    /** Returns whether the bytes after the head cannot be a chunked body. */
-    boolean isMalformed() {
-        return state == State.MALFORMED;
+    /** Expects no chunked body; all bytes pass. */
+    void expectNothing() {
+        state = State.COMPLETE;
     }
 
-    /** Checks the bytes of a buffer between an offset and its position. */
-    void check(ByteBuffer buffer, int offset) {
-        int end = buffer.position();
+    /**
+     * Checks the bytes of a buffer from an offset to its position.
+     *
+     * @throws MalformedResponseException when they cannot be part of a chunked body
+     */
+    void check(ByteBuffer buffer, int offset) throws MalformedResponseException {
         int next = offset;
-        while (next < end && state != State.LAST_CHUNK_SEEN && state != State.MALFORMED) {
+        while (next < buffer.position() && state != State.COMPLETE) {
             if (state == State.DATA) {
-                int skipped = (int) Math.min(chunkBytes, end - next);
+                int skipped = (int) Math.min(chunkBytes, buffer.position() - next);
                 chunkBytes -= skipped;
                 next += skipped;
                 state = chunkBytes == 0 ? State.DATA_END : State.DATA;
                 continue;
             }
-            state = after(buffer.get(next++));
+            state = after(Byte.toUnsignedInt(buffer.get(next++)));
         }
     }
 
-    /** Returns the state after one byte of the head or of the framing. */
-    private State after(byte next) {
+    /** Returns the state after one byte of the framing. */
+    private State after(int next) throws MalformedResponseException {
         return switch (state) {
-            case HEAD -> afterHeadByte(next);
-            case SIZE_START ->
-                    Character.digit(next, 16) < 0 ? State.MALFORMED : afterDigit(next, 0);
-            case SIZE ->
-                    Character.digit(next, 16) < 0 ? afterSize(next) : afterDigit(next, chunkBytes);
-            case SIZE_LINE_END -> next == '\n' ? afterSizeLine() : State.SIZE_LINE_END;
-            case DATA_END ->
-                    switch (next) {
-                        case '\r' -> State.DATA_END;
-                        case '\n' -> State.SIZE_START;
-                        default -> State.MALFORMED;
-                    };
-            case DATA, LAST_CHUNK_SEEN, MALFORMED -> state;
+            case SIZE_START -> firstOfSize(next);
+            case SIZE -> inSize(next);
+            case EXTENSIONS -> inExtensions(next);
+            case SIZE_LINE_END -> afterSizeLine(next);
+            case DATA_END -> expect('\r', next, State.DATA_LINE_END);
+            case DATA_LINE_END -> expect('\n', next, State.SIZE_START);
+            case TRAILERS -> inTrailers(next);
+            case DATA, COMPLETE -> state;
         };
     }
 
-    private State afterHeadByte(byte next) {
-        if (next == '\n' && lineIsEmpty) {
-            return State.SIZE_START;
+    private static State expect(int expected, int next, State following)
+            throws MalformedResponseException {
+        if (next != expected) {
+            throw new MalformedResponseException("the body is not framed in chunks");
         }
-        lineIsEmpty = next == '\n' || (lineIsEmpty && next == '\r');
-        return State.HEAD;
+        return following;
     }
 
-    private State afterDigit(byte digit, long higherDigits) {
-        chunkBytes = higherDigits * 16 + Character.digit(digit, 16);
-        return chunkBytes > MAXIMUM_CHUNK_BYTES ? State.MALFORMED : State.SIZE;
+    private State firstOfSize(int next) throws MalformedResponseException {
+        chunkBytes = 0;
+        if (Character.digit(next, 16) < 0) {
+            throw new MalformedResponseException("no size of a chunk");
+        }
+        return inSize(next);
     }
 
-    /** A size ends with its line, or with white space or an extension. */
-    private State afterSize(byte next) {
-        return switch (next) {
-            case '\n' -> afterSizeLine();
-            case '\r', ' ', '\t', ';' -> State.SIZE_LINE_END;
-            default -> State.MALFORMED;
-        };
+    private State inSize(int next) throws MalformedResponseException {
+        int digit = Character.digit(next, 16);
+        if (digit >= 0) {
+            chunkBytes = chunkBytes * 16 + digit;
+            if (chunkBytes > MAXIMUM_CHUNK_BYTES) {
+                throw new MalformedResponseException("chunk of more than 1 TiB");
+            }
+            return State.SIZE;
+        }
+        if (next == '\r') {
+            return State.SIZE_LINE_END;
+        }
+        extensions.start();
+        extensions.check(next);
+        return State.EXTENSIONS;
     }
 
-    private State afterSizeLine() {
-        return chunkBytes == 0 ? State.LAST_CHUNK_SEEN : State.DATA;
+    private State inExtensions(int next) throws MalformedResponseException {
+        if (next == '\r' && extensions.mayEnd()) {
+            return State.SIZE_LINE_END;
+        }
+        extensions.check(next);
+        return State.EXTENSIONS;
+    }
+
+    private State afterSizeLine(int next) throws MalformedResponseException {
+        expect('\n', next, State.DATA);
+        if (chunkBytes > 0) {
+            return State.DATA;
+        }
+        trailers.start();
+        return State.TRAILERS;
+    }
+
+    private State inTrailers(int next) throws MalformedResponseException {
+        trailers.check(next);
+        if (trailers.framing().areStated()) {
+            throw new MalformedResponseException("trailer that states a length or a coding");
+        }
+        return trailers.isComplete() ? State.COMPLETE : State.TRAILERS;
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -187,9 +187,6 @@
             }
             headSeen = true;
             ClientResponse response = exchange.getResponse();
-            if (!acceptsFraming(response)) {
-                return;
-            }
             serverKeepsConnection =
                     !"close".equalsIgnoreCase(firstHeader(response, Headers.CONNECTION_STRING));
             KeepAliveHeader.idleTimeoutNanos(firstHeader(response, "Keep-Alive"))
@@ -205,20 +202,6 @@
             onDiscarding.run();
         }
 
-        private boolean acceptsFraming(ClientResponse response) {
-            try {
-                if ("chunked"
-                        .equalsIgnoreCase(
-                                firstHeader(response, Headers.TRANSFER_ENCODING_STRING))) {
-                    connection.responseInput().startChunkedBody();
-                }
-                return true;
-            } catch (IOException e) {
-                fail(exchangeFailure(e));
-                return false;
-            }
-        }
-
         @Override
         public void failed(IOException e) {
             fail(exchangeFailure(e));
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseInputConduit.java
@@ -6,13 +6,13 @@
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Prepares the bytes of responses for Undertow's client. Checks heads and the framing of chunks:
- * what fails a check does not reach the client, which would take some of it for another response
- * than was sent. Removes interim heads, which the client takes for the final one, except those with
- * status 100. Limits the bytes in a row that belong to no body: heads, the framing of chunks,
- * trailers, and what follows a response. The client has no such limit: bytes without end would fill
- * the memory and, since it parses as long as there are any, occupy the I/O thread. Used on one I/O
- * thread only.
+ * Prepares the bytes of responses for Undertow's client. Checks heads, the framing of chunks and
+ * trailers: what fails a check does not reach the client, which would take some of it for another
+ * response than was sent. Removes interim heads, which the client takes for the final one, except
+ * those with status 100. Limits the bytes in a row that belong to no body: heads, the framing of
+ * chunks, trailers, and what follows a response. The client has no such limit: bytes without end
+ * would fill the memory and, since it parses as long as there are any, occupy the I/O thread. Used
+ * on one I/O thread only.
  */
 final class ResponseInputConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     /** More than the heads of well-known servers, whose own limits are 8 to 64 KiB. */
@@ -20,10 +20,7 @@
 
     private final ResponseHeadCheck heads = new ResponseHeadCheck();
     private final InterimHeadFilter interimHeads = new InterimHeadFilter();
-    private final ChunkFramingCheck framing = new ChunkFramingCheck();
-
-    /** Whether the body of the response is known to be chunked. */
-    private boolean chunked;
+    private final ChunkFramingCheck chunks = new ChunkFramingCheck();
 
     /** Bytes received since the response began or the last part of its body was read. */
     private long bytesWithoutBody;
@@ -39,27 +36,14 @@
      */
     void startResponse(boolean respondsToHead) {
         bytesWithoutBody = 0;
-        chunked = false;
         heads.startResponse(respondsToHead);
         interimHeads.startResponse();
-        framing.startResponse();
+        chunks.expectNothing();
     }
 
-    /**
-     * Reports that the head states a chunked body.
-     *
-     * @throws IOException when the bytes that came with the head are no such body
-     */
-    void startChunkedBody() throws IOException {
-        chunked = true;
-        checkFraming();
-    }
-
-    private void checkFraming() throws IOException {
-        if (chunked && framing.isMalformed()) {
-            throw new MalformedResponseException(
-                    "the body is not framed in chunks as its head states");
-        }
+    /** Returns how the body of the response is framed, after its final head was read. */
+    BodyFraming framing() {
+        return heads.framing();
     }
 
     /** Reports that a part of the body was read. */
@@ -82,20 +66,7 @@
 
     @Override
     public int read(ByteBuffer buffer) throws IOException {
-        int offset = buffer.position();
-        int count = interimHeads.isFinalHeadReached() ? readChecked(buffer) : readHeads(buffer);
-        framing.check(buffer, offset);
-        checkFraming();
-        return count;
-    }
-
-    /** Reads bytes of the server and checks them, before any of them are removed. */
-    private int readChecked(ByteBuffer buffer) throws IOException {
-        int offset = buffer.position();
-        int count = super.read(buffer);
-        checkLimit(count);
-        heads.check(buffer, offset);
-        return count;
+        return interimHeads.isFinalHeadReached() ? readChecked(buffer) : readHeads(buffer);
     }
 
     /** Returns 0 when only bytes of interim heads have arrived. */
@@ -111,6 +82,20 @@
         return buffer.position() - offset;
     }
 
+    /** Reads bytes of the server and checks them, before any of them are removed. */
+    private int readChecked(ByteBuffer buffer) throws IOException {
+        int offset = buffer.position();
+        int count = super.read(buffer);
+        checkLimit(count);
+        boolean headExpected = !heads.isComplete();
+        int afterHead = heads.check(buffer, offset);
+        if (headExpected && heads.isComplete() && framing() instanceof BodyFraming.Chunks) {
+            chunks.startBody();
+        }
+        chunks.check(buffer, afterHead);
+        return count;
+    }
+
     /** Fills one buffer only, so that all bytes are checked in their order. */
     @Override
     public long read(ByteBuffer[] buffers, int offset, int length) throws IOException {
