Complete responses with status 304 that state a length

What callers saw: a 504 at the timeout of the route in place of a 304 of a sound endpoint that states the length or the coding which the body would have, as RFC 9110, 8.6 and RFC 9112, 6.1 allow.

Cause: Undertow's client waits for the stated body after 304; it knows only of HEAD and of 204 without a length that none follows.

Evidence: both rows of headWithoutBodyIsRelayed with 304 and a field failed on, after 800 ms for each call. HEAD, 204 and 304 without fields passed and stay.

Change: HttpExchange ends a response at its head when ResponseHeadCheck has found that no body follows. The connection is closed if the client still waits for the body on it.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.tamarackfold.transport.ResponseForms;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Endpoints whose responses are outside of the grammar of HTTP, and sound ones close to it. */
@@ -283,6 +284,39 @@
                 assertTrue(response.endsWith("hello"), response);
             }
         }
+
+        /** Heads that no body follows, with the method of their request and their status. */
+        @DataProvider
+        public static Object[][] headsWithoutBody() {
+            return new Object[][] {
+                {"POST", 204, ""},
+                {"POST", 204, "Content-Length: 0\r\n"},
+                {"POST", 304, ""},
+                {"POST", 304, "Content-Length: 5\r\n"},
+                {"POST", 304, "Transfer-Encoding: chunked\r\n"},
+                {"HEAD", 200, ""},
+                {"HEAD", 200, "Content-Length: 5\r\n"},
+                {"HEAD", 200, "Transfer-Encoding: chunked\r\n"},
+                {"HEAD", 404, "Content-Length: 5\r\n"},
+            };
+        }
+
+        /** Guards against waiting for a body that does not follow. */
+        @Test(dataProvider = "headsWithoutBody")
+        public void headWithoutBodyIsRelayed(String method, int status, String fields)
+                throws IOException {
+            for (String id : new String[] {"c1", "c2"}) {
+                entry.endpoint()
+                        .respond(
+                                scripted(
+                                        "HTTP/1.1 " + status + " X\r\n{fields}" + fields + "\r\n",
+                                        id));
+                String request = EntryFixture.request("unsafe", id, "Connection: close\r\n", "");
+                String response = entry.sendRaw(request.replace("POST ", method + " "));
+                assertTrue(response.startsWith("HTTP/1.1 " + status), response);
+                assertTrue(response.endsWith("\r\n\r\n"), response);
+            }
+        }
     }
 
     /** Calls that a host forwards for another one. */
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -198,7 +198,11 @@
                             response.getResponseHeaders(),
                             usesIdleConnection));
             responseChannel.getReadSetter().set(channel -> readBody());
-            readBody();
+            switch (connection.responseInput().framing()) {
+                case BodyFraming.NoBody() -> endWithoutBody();
+                case BodyFraming.Length(long _), BodyFraming.Chunks(), BodyFraming.UntilClose() ->
+                        readBody();
+            }
             onDiscarding.run();
         }
 
@@ -240,6 +244,22 @@
         }
     }
 
+    /**
+     * Completes a response that has no body. Undertow's client waits for one after status 304 when
+     * the head states the length that the body would have; its connection is then closed.
+     */
+    private void endWithoutBody() {
+        if (finished) {
+            return;
+        }
+        try {
+            serverKeepsConnection &= responseChannel.read(ByteBuffer.allocate(1)) < 0;
+        } catch (IOException e) {
+            serverKeepsConnection = false;
+        }
+        complete();
+    }
+
     private void onBodyPart(ByteBuffer part) {
         if (!discarding) {
             listener.onBody(part);
