Check the heads that forwarding hosts report

What callers saw: a response through another entry host whose head is outside of the grammar, while that host runs an earlier build, which does not check what endpoints send: a length of "+5", two lengths, a coding that nobody has applied, a status such as 999.

Cause: ForwardedAttempt verified the signature of a head in a reply of another host and nothing else.

Change: DecodedHeadCheck applies the grammar of ResponseHeadCheck to a decoded head. A head that fails it is an attempt with an unknown outcome.

ForwardFixture now holds the attempt through another host that UnsignedResponsesTest had.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.caller.http;
 
 import io.undertow.Undertow;
+import io.undertow.util.HeaderMap;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.io.DataInputStream;
@@ -17,11 +18,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.EndpointTables;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
 import org.tamarackfold.endpoint.http.PooledEndpointConnections;
+import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
@@ -30,6 +35,7 @@
 import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.operator.ReleaseHolder;
+import org.tamarackfold.peer.EntryHost;
 import org.tamarackfold.peer.ForwardReply;
 import org.tamarackfold.peer.ForwardedCall;
 import org.tamarackfold.peer.ForwardingHosts;
@@ -40,6 +46,7 @@
 import org.tamarackfold.peer.thrift.ForwardCodec;
 import org.tamarackfold.standin.ExecutorScheduler;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
+import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
 import org.testng.annotations.AfterMethod;
@@ -148,6 +155,74 @@
         runtime.stop();
     }
 
+    /** The head of a response whose body, the replies of a forwarding host, has no length. */
+    static final Step REPLY_HEAD = new Step.Send("HTTP/1.1 200 OK\r\n\r\n");
+
+    /** Returns a step that sends a reply of a forwarding host. */
+    static Step reply(ForwardReply reply) {
+        return new Step.Send(
+                new String(ForwardReplyFrames.encode(reply), StandardCharsets.ISO_8859_1));
+    }
+
+    /**
+     * Has another host forward a call, which answers with scripted bytes. Returns the outcome of
+     * the attempt: Answered at a head that is relayed.
+     */
+    CompletableFuture<AttemptOutcome> attemptThroughHost(Step... steps) throws IOException {
+        CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+        try (ScriptedEndpoint host = new ScriptedEndpoint()) {
+            host.respond(steps);
+            startAttemptThrough(host.address(), outcome);
+            outcome.orTimeout(SOCKET_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
+        }
+        return outcome;
+    }
+
+    private void startAttemptThrough(Address host, CompletableFuture<AttemptOutcome> outcome) {
+        EntryHost entryHost =
+                new EntryHost(new HostId("entry-2"), host, new AvailabilityZone("a"), host, 750);
+        ForwardedAttempt attempt =
+                new ForwardedAttempt(
+                        registration(),
+                        entryHost,
+                        new CallId("c1"),
+                        dependencies,
+                        new OutcomeListener(outcome));
+        attempt.start(
+                new EndpointRequest(
+                        new CallId("c1"), "POST", "/x", new HeaderMap(), new byte[0], false),
+                Duration.ofSeconds(2));
+    }
+
+    /** Completes a future with the outcome of an attempt. */
+    private record OutcomeListener(CompletableFuture<AttemptOutcome> outcome)
+            implements EndpointAttempt.Listener {
+        @Override
+        public void onResponseHead(int status, HeaderMap headers) {
+            outcome.complete(new AttemptOutcome.Answered(status));
+        }
+
+        @Override
+        public void onResponseBody(ByteBuffer bytes) {
+            if (!outcome.isDone() || !(outcome.join() instanceof AttemptOutcome.Answered)) {
+                outcome.completeExceptionally(new AssertionError("body without a head"));
+            }
+        }
+
+        @Override
+        public void onResponseEnd() {}
+
+        @Override
+        public void onResponseFailure(String reason) {
+            outcome.completeExceptionally(new AssertionError(reason));
+        }
+
+        @Override
+        public void onNoResponse(AttemptOutcome reported, String reason) {
+            outcome.complete(reported);
+        }
+    }
+
     static ForwardedCall.Builder call(String id) {
         return ForwardedCall.builder()
                 .id(new CallId(id))
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
@@ -4,13 +4,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vavr.collection.Vector;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.tamarackfold.caller.AttemptOutcome;
 import org.tamarackfold.log.CapturedLog;
 import org.tamarackfold.peer.ForwardReply;
+import org.tamarackfold.peer.ForwardedCall;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.tamarackfold.transport.ResponseForms;
@@ -350,4 +353,102 @@
             assertTrue(result.complete());
         }
     }
+
+    /** What other hosts send about the calls that they forward. */
+    public static final class RepliesOfForwardingHosts extends ForwardFixture {
+        private static final String SIGNATURE = "Answer-Signature";
+
+        private AttemptOutcome outcomeOf(int status, ForwardedCall.Header... headers)
+                throws Exception {
+            Vector<ForwardedCall.Header> all =
+                    Vector.of(headers).prepend(new ForwardedCall.Header(SIGNATURE, "sig"));
+            return attemptThroughHost(
+                            REPLY_HEAD,
+                            reply(new ForwardReply.Accepted()),
+                            reply(new ForwardReply.Head(status, all)),
+                            new Step.Send("hello"),
+                            new Step.Close())
+                    .get();
+        }
+
+        /** Fields that a forwarding host of an earlier build may pass on, or a broken one. */
+        @DataProvider
+        public static Object[][] malformedFields() {
+            return new Object[][] {
+                {"Content-Length", "+5"},
+                {"Content-Length", "5, 5"},
+                {"Content-Length", ""},
+                {"Transfer-Encoding", "gzip"},
+                {"Transfer-Encoding", "chunked, chunked"},
+                {"X Name", "1"},
+                {"X-Na\u0001me", "1"},
+                {"X:Name", "1"},
+                {"", "1"},
+                {"X-Name", "a\r\nX-Other: b"},
+                {"X-Name", "a\u0000"},
+                {"X-Name", "\u0100"},
+            };
+        }
+
+        /** Guards against a head that a host of an earlier build has taken for a sound one. */
+        @Test(dataProvider = "malformedFields")
+        public void malformedFieldIsNotRelayed(String name, String value) throws Exception {
+            assertEquals(
+                    outcomeOf(200, new ForwardedCall.Header(name, value)),
+                    new AttemptOutcome.Unknown());
+        }
+
+        /** Guards against relaying one of two lengths. */
+        @Test
+        public void repeatedLengthIsNotRelayed() throws Exception {
+            ForwardedCall.Header length = new ForwardedCall.Header("Content-Length", "5");
+            assertEquals(outcomeOf(200, length, length), new AttemptOutcome.Unknown());
+        }
+
+        /** Guards against a status that no final response can have. */
+        @Test
+        public void statusOutOfRangeIsNotRelayed() throws Exception {
+            for (int status : new int[] {-1, 0, 99, 102, 600, 999, 2_000}) {
+                assertEquals(outcomeOf(status), new AttemptOutcome.Unknown(), "" + status);
+            }
+        }
+
+        /** Guards against failing the heads that hosts of any build forward. */
+        @Test
+        public void soundHeadIsRelayed() throws Exception {
+            assertEquals(
+                    outcomeOf(
+                            200,
+                            new ForwardedCall.Header("content-length", "5"),
+                            new ForwardedCall.Header("X-Empty", ""),
+                            new ForwardedCall.Header("X-Text", "\u00e4 \t\"a:b\"")),
+                    new AttemptOutcome.Answered(200));
+            assertEquals(
+                    outcomeOf(200, new ForwardedCall.Header("Transfer-Encoding", "Chunked")),
+                    new AttemptOutcome.Answered(200));
+            assertEquals(
+                    outcomeOf(304, new ForwardedCall.Header("Content-Length", "5")),
+                    new AttemptOutcome.Answered(304));
+        }
+
+        /** Guards against sending a call again because of what a malformed reply says. */
+        @Test
+        public void malformedReplyDoesNotSayThatTheCallWasNotSent() throws Exception {
+            Step.Send notSent = (Step.Send) reply(new ForwardReply.NotSent("no connection"));
+            int length = notSent.text().length();
+            for (String lengths :
+                    new String[] {"+" + length, length + "\r\nContent-Length: " + length}) {
+                AttemptOutcome outcome =
+                        attemptThroughHost(
+                                        new Step.Send(
+                                                "HTTP/1.1 200 OK\r\nContent-Length: "
+                                                        + lengths
+                                                        + "\r\n\r\n"),
+                                        notSent,
+                                        new Step.Close())
+                                .get();
+                assertEquals(outcome, new AttemptOutcome.Unknown(), lengths);
+            }
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/UnsignedResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/UnsignedResponsesTest.java
@@ -4,24 +4,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.undertow.util.HeaderMap;
 import io.vavr.collection.Seq;
 import io.vavr.collection.Vector;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
-import org.tamarackfold.id.Address;
-import org.tamarackfold.id.AvailabilityZone;
-import org.tamarackfold.id.CallId;
-import org.tamarackfold.id.HostId;
-import org.tamarackfold.peer.EntryHost;
 import org.tamarackfold.peer.ForwardReply;
 import org.tamarackfold.peer.ForwardedCall;
-import org.tamarackfold.peer.http.ForwardReplyFrames;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.testng.annotations.Test;
@@ -158,71 +147,12 @@
 
         private CompletableFuture<AttemptOutcome> forwardThroughEarlierBuild(
                 Seq<ForwardedCall.Header> headers) throws IOException {
-            CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
-            try (ScriptedEndpoint earlierBuild = new ScriptedEndpoint()) {
-                earlierBuild.respond(
-                        "200 OK",
-                        "",
-                        latin1(new ForwardReply.Accepted())
-                                + latin1(new ForwardReply.Head(200, headers))
-                                + "Service is starting.");
-                ForwardedAttempt attempt =
-                        new ForwardedAttempt(
-                                registration(),
-                                entryHost(earlierBuild.address()),
-                                new CallId("c1"),
-                                dependencies,
-                                new OutcomeListener(outcome));
-                attempt.start(
-                        new EndpointRequest(
-                                new CallId("c1"),
-                                "POST",
-                                "/x",
-                                new HeaderMap(),
-                                new byte[0],
-                                false),
-                        Duration.ofSeconds(2));
-                outcome.orTimeout(SOCKET_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
-            }
-            return outcome;
-        }
-
-        private static String latin1(ForwardReply reply) {
-            return new String(ForwardReplyFrames.encode(reply), StandardCharsets.ISO_8859_1);
-        }
-
-        private static EntryHost entryHost(Address address) {
-            return new EntryHost(
-                    new HostId("earlier-build"), address, new AvailabilityZone("a"), address, 750);
-        }
-    }
-
-    /** Completes a future with the outcome of an attempt. */
-    private record OutcomeListener(CompletableFuture<AttemptOutcome> outcome)
-            implements EndpointAttempt.Listener {
-        @Override
-        public void onResponseHead(int status, HeaderMap headers) {
-            outcome.complete(new AttemptOutcome.Answered(status));
-        }
-
-        @Override
-        public void onResponseBody(ByteBuffer bytes) {
-            if (!outcome.isDone() || !(outcome.join() instanceof AttemptOutcome.Answered)) {
-                outcome.completeExceptionally(new AssertionError("body without a head"));
-            }
-        }
-
-        @Override
-        public void onResponseEnd() {}
-
-        @Override
-        public void onResponseFailure(String reason) {
-            outcome.completeExceptionally(new AssertionError(reason));
-        }
-
-        @Override
-        public void onNoResponse(AttemptOutcome reported, String reason) {
-            outcome.complete(reported);
+            return attemptThroughHost(
+                    REPLY_HEAD,
+                    reply(new ForwardReply.Accepted()),
+                    reply(new ForwardReply.Head(200, headers)),
+                    new Step.Send("Service is starting."),
+                    new Step.Close());
         }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
@@ -183,7 +183,7 @@
         switch (reply) {
             case ForwardReply.Accepted() -> accepted = true;
             case ForwardReply.Head(int status, Seq<ForwardedCall.Header> headers) ->
-                    onResponseHead(status, ForwardedHeaders.toMap(headers));
+                    onResponseHead(status, headers);
             case ForwardReply.Full() ->
                     endWith(
                             new AttemptOutcome.Rejected(AttemptOutcome.Cause.FULL),
@@ -202,13 +202,17 @@
         }
     }
 
-    private void onResponseHead(int status, HeaderMap headers) {
-        // A host of an earlier build passes on successes without a signature.
+    /** Hosts of earlier builds pass on malformed heads and successes without a signature. */
+    private void onResponseHead(int status, Seq<ForwardedCall.Header> fields) {
+        Option<String> malformed = ForwardedHeaders.violation(status, fields);
+        if (malformed.isDefined()) {
+            rejectHead("malformed head: " + malformed.get());
+            return;
+        }
+        HeaderMap headers = ForwardedHeaders.toMap(fields);
         Option<String> mismatch = verifier.mismatch(call, status, headers, false);
         if (mismatch.isDefined()) {
-            cancel();
-            endWith(new AttemptOutcome.Unknown(), mismatch.get());
-            listener.onNoResponse(outcome.get(), reason);
+            rejectHead(mismatch.get());
             return;
         }
         headSeen = true;
@@ -217,6 +221,12 @@
         listener.onResponseHead(status, headers);
     }
 
+    private void rejectHead(String why) {
+        cancel();
+        endWith(new AttemptOutcome.Unknown(), why);
+        listener.onNoResponse(outcome.get(), reason);
+    }
+
     private void endUnforwarded(String why) {
         forwardingHosts.recordFailure(host.host());
         endWith(new AttemptOutcome.NotForwarded(), why);
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedHeaders.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedHeaders.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.tamarackfold.peer.ForwardedCall;
+import org.tamarackfold.transport.DecodedHeadCheck;
 
 /** Converts HTTP headers to and from those of the messages between entry hosts. */
 final class ForwardedHeaders {
@@ -32,6 +33,13 @@
                 .map(ForwardedCall.Header::value);
     }
 
+    /** Returns why the head of a response with these headers is malformed; none if it is not. */
+    static Option<String> violation(int status, Seq<ForwardedCall.Header> headers) {
+        DecodedHeadCheck check = DecodedHeadCheck.ofStatus(status);
+        headers.forEach(header -> check.field(header.name(), header.value()));
+        return check.violation();
+    }
+
     static HeaderMap toMap(Seq<ForwardedCall.Header> headers) {
         HeaderMap map = new HeaderMap();
         headers.forEach(header -> map.add(new HttpString(header.name()), header.value()));
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/FieldSectionCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/FieldSectionCheck.java
@@ -62,15 +62,42 @@
                 };
     }
 
+    /**
+     * Checks a field that was decoded already.
+     *
+     * @throws MalformedResponseException when it cannot be a field
+     */
+    static void checkField(String name, String value) throws MalformedResponseException {
+        if (name.isEmpty()) {
+            throw new MalformedResponseException("field without a name");
+        }
+        for (int i = 0; i < name.length(); i++) {
+            checkNameCharacter(name.charAt(i));
+        }
+        for (int i = 0; i < value.length(); i++) {
+            checkValueCharacter(value.charAt(i));
+        }
+    }
+
+    private static void checkNameCharacter(int character) throws MalformedResponseException {
+        if (!HttpCharacters.isToken(character)) {
+            throw new MalformedResponseException("line that is no field");
+        }
+    }
+
+    private static void checkValueCharacter(int character) throws MalformedResponseException {
+        if (!HttpCharacters.isText(character)) {
+            throw new MalformedResponseException("control character in the value of a field");
+        }
+    }
+
     private State firstOfName(int next) throws MalformedResponseException {
         name.setLength(0);
         return inName(next);
     }
 
     private State inName(int next) throws MalformedResponseException {
-        if (!HttpCharacters.isToken(next)) {
-            throw new MalformedResponseException("line that is no field");
-        }
+        checkNameCharacter(next);
         if (name.length() < MAXIMUM_KEPT_NAME_LENGTH) {
             name.append((char) next);
         }
@@ -86,9 +113,7 @@
     }
 
     private State inValue(int next) throws MalformedResponseException {
-        if (!HttpCharacters.isText(next)) {
-            throw new MalformedResponseException("control character in the value of a field");
-        }
+        checkValueCharacter(next);
         value.forEach(kept -> kept.append((char) next));
         return State.VALUE;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
@@ -105,12 +105,12 @@
         }
         position++;
         if (position == STATUS_LINE_FORM.length()) {
-            checkStatus();
+            checkStatus(status);
             state = State.REASON_PHRASE;
         }
     }
 
-    private void checkStatus() throws MalformedResponseException {
+    private static void checkStatus(int status) throws MalformedResponseException {
         if (status < FIRST_STATUS || status > LAST_STATUS) {
             throw new MalformedResponseException("status " + status + " out of range");
         }
@@ -120,6 +120,18 @@
         }
     }
 
+    /**
+     * Checks the status of a final head.
+     *
+     * @throws MalformedResponseException when no final head can have it
+     */
+    static void checkFinalStatus(int status) throws MalformedResponseException {
+        checkStatus(status);
+        if (status < FIRST_FINAL_STATUS) {
+            throw new MalformedResponseException("status " + status + " of an interim head");
+        }
+    }
+
     private void checkReasonPhrase(int next) throws MalformedResponseException {
         if (next == '\r') {
             state = State.STATUS_LINE_END;
