--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/StoreResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/StoreResponsesTest.java
@@ -10,12 +10,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.tamarackfold.errors.ExecutionStatus;
 import org.tamarackfold.errors.Failure;
 import org.tamarackfold.keyvalue.KeyValueService;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.standin.http.ScriptedEndpoint;
+import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
+import org.tamarackfold.transport.ResponseForms;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -80,6 +83,10 @@
             store.respond("200 OK", "Content-Type: application/json", body);
         }
 
+        void respondWith(String form) {
+            store.respond(new Step.Send(ResponseForms.fill(form, "")), new Step.Pause(3_000));
+        }
+
         static <T> Either<Failure, T> await(CompletableFuture<Either<Failure, T>> result)
                 throws Exception {
             return result.get(3, TimeUnit.SECONDS);
@@ -107,6 +114,31 @@
         }
     }
 
+    /** Responses outside of the grammar of HTTP. */
+    public static final class MalformedHeads extends Fixture {
+        /** Guards against a lease that counts as renewed because of bytes that are no response. */
+        @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
+        public void aRenewalFails(String form) throws Exception {
+            respondWith(form);
+            Failure failure = await(client.renewLease(1)).getLeft();
+            assertEquals(failure.executionStatus(), ExecutionStatus.UNKNOWN);
+        }
+
+        /** Guards against a malformed response that is read to its end as if it were sound. */
+        @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
+        public void aRenewalWithMalformedChunksFails(String form) throws Exception {
+            respondWith(form);
+            assertTrue(await(client.renewLease(1)).isLeft());
+        }
+
+        /** Guards against failing the renewals that a sound service answers. */
+        @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
+        public void aRenewalSucceeds(String form) throws Exception {
+            respondWith(form);
+            assertTrue(await(client.renewLease(1)).get());
+        }
+    }
+
     /** Values of another writer, which the service encodes as text. */
     public static final class Values extends Fixture {
         /** Guards against a listing that fails because of the size or content of one value. */
