Read the responses of the soak's callers through the transport

What was missed: a malformed response of an entry host to a caller of the fault soak, or a malformed directory, broke no rule of a run.

Change: callers send through PooledHttpClient, each with connections of its own as before, and report a malformed response or directory as MIXED. Reception takes the place of PacedBody: a slow reader pauses for 10 ms after each 16 KiB.

Checked: CallerTest and SoakTest pass.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/Caller.java
@@ -1,20 +1,14 @@
 package org.tamarackfold.daemon.soak.http;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.vavr.collection.Vector;
+import io.vavr.control.Either;
 import io.vavr.control.Option;
-import java.io.ByteArrayOutputStream;
-import java.net.ConnectException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpConnectTimeoutException;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.caller.http.CallHeaderNames;
@@ -33,6 +27,11 @@
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.ProgramId;
 import org.tamarackfold.platform.standin.PlatformDocuments;
+import org.tamarackfold.transport.HttpRequest;
+import org.tamarackfold.transport.IoRuntime;
+import org.tamarackfold.transport.PooledHttpClient;
+import org.tamarackfold.transport.ResponseHead;
+import org.tamarackfold.transport.TransportFailure;
 
 /** Caller that makes one call after another and retries as the protocol allows. */
 public final class Caller implements Runnable {
@@ -55,8 +54,15 @@
 
     private static final int SURGE_PAUSE_MILLIS = 40;
 
-    /** Pause of a slow reader after each buffer, by which 4 MB take about 3 s, in milliseconds. */
-    private static final long SLOW_PAUSE_MILLIS = 10;
+    /** Pause of a slow reader after 16 KiB, by which 4 MB take about 3 s. */
+    private static final Duration SLOW_PAUSE = Duration.ofMillis(10);
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    /** How long connections are kept if the host states nothing. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
+    private static final HttpString POST = new HttpString("POST");
 
     private static final int OK = 200;
     private static final int PAYMENT_REQUIRED = 402;
@@ -69,19 +75,24 @@
     private final ContinuedTurns turns;
     private final Customer customer;
     private final Random random;
-    private final HttpClient client =
-            HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .connectTimeout(Duration.ofSeconds(1))
-                    .build();
+    private final IoRuntime runtime;
+
+    /** The transport of the hosts, which accepts no response outside of the grammar of HTTP. */
+    private final PooledHttpClient client;
+
     private final EntryAddresses addresses;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private Program program;
     private int callCount;
     private long callNanos;
 
-    /** Creates a caller of a customer; the seed decides its calls. */
+    /**
+     * Creates a caller of a customer; the seed decides its calls.
+     *
+     * @param runtime a single I/O thread, so that connections are reused
+     */
     public Caller(
+            IoRuntime runtime,
             String name,
             Customer customer,
             Ledger ledger,
@@ -91,6 +102,8 @@
             ContinuedTurns turns,
             Iterable<EntryHost> hosts,
             long seed) {
+        this.runtime = runtime;
+        this.client = new PooledHttpClient(runtime, IDLE_TIMEOUT.toNanos());
         this.name = name;
         this.customer = customer;
         this.ledger = ledger;
@@ -99,7 +112,7 @@
         this.shares = shares;
         this.turns = turns;
         this.random = new Random(seed);
-        this.addresses = new EntryAddresses(client, Vector.ofAll(hosts), random);
+        this.addresses = new EntryAddresses(client, ledger, Vector.ofAll(hosts), random);
     }
 
     /** Makes the caller end after its present call. */
@@ -109,13 +122,12 @@
 
     @Override
     public void run() {
-        try (client) {
+        try {
             while (!stopping.get()) {
                 callNanos = System.nanoTime();
                 new Call(nextKind()).make();
                 Thread.sleep(pauseMillis());
             }
-            client.shutdownNow();
         } catch (RuntimeException e) {
             ledger.report(Rule.MIXED, name, "the caller ended on a malformed answer: " + e);
         } catch (InterruptedException e) {
@@ -262,98 +274,98 @@
         private Outcome exchange(CallId attempt, HttpRequest request, LoopbackProxy proxy)
                 throws InterruptedException {
             long sentNanos = System.nanoTime();
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
-            CompletableFuture<HttpResponse<Void>> future =
-                    client.sendAsync(request, receiver(body));
+            Duration pause =
+                    customer.demand() instanceof Demand.SlowReading ? SLOW_PAUSE : Duration.ZERO;
+            Reception reception = Reception.start(runtime, client, request, pause);
             Outcome outcome;
             try {
-                long patienceMillis = remainingMillis() + PATIENCE_MILLIS;
-                outcome = answered(future.get(patienceMillis, TimeUnit.MILLISECONDS));
-                if (outcome instanceof Outcome.Served) {
-                    checkSignature(attempt, future.join(), body.toString(StandardCharsets.UTF_8));
-                    readLeaving(attempt, future.join());
-                }
+                Either<TransportFailure, ResponseHead> end =
+                        reception.await(remainingMillis() + PATIENCE_MILLIS);
+                outcome =
+                        end.isRight()
+                                ? answered(attempt, end.get(), reception.body())
+                                : failed(attempt, end.getLeft(), proxy.hasRefusedSince(sentNanos));
             } catch (TimeoutException e) {
-                future.cancel(true);
                 outcome = new Outcome.Abandoned();
-            } catch (ExecutionException e) {
-                outcome = failed(e.getCause(), proxy.hasRefusedSince(sentNanos));
             }
-            receiveEvents(attempt, body.toString(StandardCharsets.UTF_8));
+            receiveEvents(attempt, reception.body());
             if (outcome instanceof Outcome.Served) {
                 checkEnd(attempt);
             }
             return outcome;
         }
 
-        private HttpResponse.BodyHandler<Void> receiver(ByteArrayOutputStream body) {
-            return customer.demand() instanceof Demand.SlowReading
-                    ? _ -> new PacedBody(body, SLOW_PAUSE_MILLIS)
-                    : HttpResponse.BodyHandlers.ofByteArrayConsumer(
-                            part -> part.ifPresent(body::writeBytes));
-        }
-
-        private static Outcome answered(HttpResponse<?> response) {
-            return response.statusCode() == OK
-                    ? new Outcome.Served()
-                    : new Outcome.Rejected(response.statusCode(), retryAfter(response));
+        private Outcome answered(CallId attempt, ResponseHead head, String body) {
+            if (head.status() != OK) {
+                return new Outcome.Rejected(head.status(), retryAfter(head));
+            }
+            checkSignature(attempt, head, body);
+            readLeaving(attempt, head);
+            return new Outcome.Served();
         }
 
-        private static Outcome failed(Throwable cause, boolean hostRefused) {
-            return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException
-                    ? new Outcome.NotSent()
-                    : new Outcome.Broken(String.valueOf(cause.getMessage()), hostRefused);
+        private Outcome failed(CallId attempt, TransportFailure failure, boolean hostRefused) {
+            return switch (failure) {
+                case TransportFailure.NotSent(String _) -> new Outcome.NotSent();
+                case TransportFailure.Malformed(String reason) -> {
+                    ledger.report(Rule.MIXED, attempt, "the response is malformed: " + reason);
+                    yield new Outcome.Broken(failure.toString(), hostRefused);
+                }
+                case TransportFailure.Broken(String _),
+                        TransportFailure.ClosedBeforeResponse(String _),
+                        TransportFailure.TimedOut(boolean _) ->
+                        new Outcome.Broken(failure.toString(), hostRefused);
+            };
         }
 
         private HttpRequest request(CallId attempt, EntryHost host, Option<String> key) {
-            URI uri =
-                    URI.create(
-                            "http://%s/%s/%s".formatted(host.proxy().address(), kind.route(), id));
-            HttpRequest.Builder request =
-                    HttpRequest.newBuilder(uri)
-                            .header(NAMES.callId().toString(), attempt.value())
-                            .header(NAMES.deadline().toString(), "" + remainingMillis())
-                            .header(StandInEndpoint.PAUSE.toString(), "" + pauseMillis)
-                            .POST(HttpRequest.BodyPublishers.ofString(input));
+            HeaderMap headers = new HeaderMap();
+            headers.put(NAMES.callId(), attempt.value());
+            headers.put(NAMES.deadline(), remainingMillis());
+            headers.put(StandInEndpoint.PAUSE, pauseMillis);
             if (kind.responseBytes() > 0) {
-                request.header(StandInEndpoint.PADDING.toString(), "" + kind.responseBytes());
+                headers.put(StandInEndpoint.PADDING, kind.responseBytes());
             }
             if (kind.eventCount() > 0) {
-                request.header(StandInEndpoint.EVENTS.toString(), "" + kind.eventCount());
+                headers.put(StandInEndpoint.EVENTS, kind.eventCount());
             }
             if (!events.isEmpty()) {
-                request.header(StandInEndpoint.LAST_EVENT.toString(), "" + events.size())
-                        .header(PlatformDocuments.RESUMES.toString(), firstEventAttempt.value());
+                headers.put(StandInEndpoint.LAST_EVENT, events.size());
+                headers.put(PlatformDocuments.RESUMES, firstEventAttempt.value());
             }
-            key.forEach(value -> request.header("Authorization", "Bearer " + value));
+            key.forEach(value -> headers.put(Headers.AUTHORIZATION, "Bearer " + value));
             if (kind.isTurn()) {
-                addTurnHeaders(request);
+                addTurnHeaders(headers);
             }
-            return request.build();
+            return HttpRequest.builder()
+                    .address(host.proxy().address())
+                    .method(POST)
+                    .path("/%s/%s".formatted(kind.route(), id))
+                    .headers(headers)
+                    .body(input.getBytes(StandardCharsets.UTF_8))
+                    .connectTimeout(CONNECT_TIMEOUT)
+                    .withoutResponseTimeout()
+                    .build();
         }
 
-        private void addTurnHeaders(HttpRequest.Builder request) {
-            request.header(NAMES.program().toString(), program.id().value())
-                    .header(NAMES.session().toString(), program.id().value())
-                    .header(NAMES.tokenBudget().toString(), "" + program.budget())
-                    .header(NAMES.tokenUsage().toString(), "10," + Program.MAXIMUM_TURN_TOKENS);
+        private void addTurnHeaders(HeaderMap headers) {
+            headers.put(NAMES.program(), program.id().value());
+            headers.put(NAMES.session(), program.id().value());
+            headers.put(NAMES.tokenBudget(), program.budget());
+            headers.put(NAMES.tokenUsage(), "10," + Program.MAXIMUM_TURN_TOKENS);
             if (program.lastTurn() != null) {
-                request.header(NAMES.parentTurn().toString(), program.lastTurn().value());
+                headers.put(NAMES.parentTurn(), program.lastTurn().value());
             }
         }
 
-        private static long retryAfter(HttpResponse<?> response) {
-            return response.headers()
-                    .firstValue("Retry-After")
-                    .map(seconds -> Math.round(Double.parseDouble(seconds) * 1_000))
-                    .orElse(0L);
+        private static long retryAfter(ResponseHead head) {
+            String seconds = head.headers().getFirst(Headers.RETRY_AFTER);
+            return seconds == null ? 0 : Math.round(Double.parseDouble(seconds) * 1_000);
         }
 
-        private void checkSignature(CallId attempt, HttpResponse<?> response, String body) {
-            String signature =
-                    response.headers()
-                            .firstValue(PlatformDocuments.SIGNATURE.toString())
-                            .orElse("none");
+        private void checkSignature(CallId attempt, ResponseHead head, String body) {
+            String stated = head.headers().getFirst(PlatformDocuments.SIGNATURE);
+            String signature = stated == null ? "none" : stated;
             BodyDigest answer = kind.eventCount() == 0 ? BodyDigest.of(body) : null;
             if (!ledger.isAnswer(attempt, signature, answer)) {
                 String seen = "the body of %d bytes with signature %s is not the endpoint's";
@@ -361,13 +373,10 @@
             }
         }
 
-        private void readLeaving(CallId attempt, HttpResponse<?> response) {
-            boolean leaving = response.headers().firstValue(NAMES.leaving().toString()).isPresent();
-            if (leaving) {
-                response.headers()
-                        .firstValue(PlatformDocuments.SIGNATURE.toString())
-                        .map(StandInEndpoint::endpointOf)
-                        .ifPresent(endpoint -> ledger.leavingPassedOn(attempt, endpoint));
+        private void readLeaving(CallId attempt, ResponseHead head) {
+            String signature = head.headers().getFirst(PlatformDocuments.SIGNATURE);
+            if (head.headers().contains(NAMES.leaving()) && signature != null) {
+                ledger.leavingPassedOn(attempt, StandInEndpoint.endpointOf(signature));
             }
         }
 
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
@@ -23,6 +23,7 @@
 import org.tamarackfold.daemon.soak.ServedShares;
 import org.tamarackfold.daemon.soak.http.Caller;
 import org.tamarackfold.id.CustomerName;
+import org.tamarackfold.transport.IoRuntime;
 
 /**
  * One run of the fault soak: starts the processes and stand-ins, lets callers work, injects faults
@@ -59,11 +60,13 @@
     private final CustomerChecks checks;
     private final ServedShares shares;
     private final ContinuedTurns turns;
+    private final IoRuntime callerRuntime;
     private final List<Caller> callers = new ArrayList<>();
     private final List<Thread> callerThreads = new ArrayList<>();
 
-    private SoakSession(SoakOptions options, PrintStream out) {
+    private SoakSession(SoakOptions options, IoRuntime callerRuntime, PrintStream out) {
         this.options = options;
+        this.callerRuntime = callerRuntime;
         this.out = out;
         ledger = new Ledger(timeline, out, options.seed(), Fleet.GRACE_MILLIS * 1_000_000);
         Vector<Customer> added = addedCallers().map(SoakLoad.Callers::customer);
@@ -80,9 +83,14 @@
      */
     public static Vector<String> run(SoakOptions options, PrintStream out)
             throws IOException, InterruptedException, ExecutionException {
-        SoakSession session = new SoakSession(options, out);
-        session.run();
-        return session.ledger.violations();
+        IoRuntime callerRuntime = IoRuntime.start(1);
+        try {
+            SoakSession session = new SoakSession(options, callerRuntime, out);
+            session.run();
+            return session.ledger.violations();
+        } finally {
+            callerRuntime.stop();
+        }
     }
 
     private void run() throws IOException, InterruptedException, ExecutionException {
@@ -137,6 +145,7 @@
     private void startCaller(Fleet fleet, int number, Customer customer) {
         Caller caller =
                 new Caller(
+                        callerRuntime,
                         "c" + number,
                         customer,
                         ledger,
