Name the responses of tests without control characters

Test reports list the parameters of a failed test. A form is now a value with a printable name.

Checked: all tests that use ResponseForms pass.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/MalformedResponsesTest.java
@@ -17,6 +17,7 @@
 import org.tamarackfold.standin.http.ScriptedEndpoint;
 import org.tamarackfold.standin.http.ScriptedEndpoint.Step;
 import org.tamarackfold.transport.ResponseForms;
+import org.tamarackfold.transport.ResponseForms.Form;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -25,17 +26,18 @@
     private MalformedResponsesTest() {}
 
     private static final String INTERIM = "HTTP/1.1 102 Processing\r\n\r\n";
-    private static final String REPEATED_LENGTH =
-            "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello";
+    private static final Form REPEATED_LENGTH =
+            new Form(
+                    "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello");
 
     /** Longer than the timeout of a route: only a connection that is closed ends it early. */
     private static final Step OPEN = new Step.Pause(3_000);
 
-    private static String response(String form, String callId) {
-        return ResponseForms.fill(form, CallFixture.SIGNATURE + "\r\nCall-Id: " + callId + "\r\n");
+    private static String response(Form form, String callId) {
+        return form.with(CallFixture.SIGNATURE + "\r\nCall-Id: " + callId + "\r\n");
     }
 
-    private static Step scripted(String form, String callId) {
+    private static Step scripted(Form form, String callId) {
         return new Step.Send(response(form, callId));
     }
 
@@ -60,13 +62,13 @@
 
         /** Guards against a malformed head that is relayed, waited for, or sent again. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void head(String form) throws IOException {
+        public void head(Form form) throws IOException {
             assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
         }
 
         /** Guards against a head that is checked only when it comes in one packet. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void headInTwoPackets(String form) throws IOException {
+        public void headInTwoPackets(Form form) throws IOException {
             String response = response(form, "c1");
             int cut = response.length() / 2;
             assertUnknownOutcome(
@@ -79,32 +81,32 @@
 
         /** Guards against a malformed head that passes because its connection ends after it. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void headBeforeAClose(String form) throws IOException {
+        public void headBeforeAClose(Form form) throws IOException {
             assertUnknownOutcome("unsafe", scripted(form, "c1"), new Step.Close());
         }
 
         /** Guards against a final head that is not checked because an interim one precedes it. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void headAfterAnInterimHead(String form) throws IOException {
-            assertUnknownOutcome("unsafe", scripted(INTERIM + form, "c1"), OPEN);
+        public void headAfterAnInterimHead(Form form) throws IOException {
+            assertUnknownOutcome("unsafe", scripted(form.after(INTERIM), "c1"), OPEN);
         }
 
         /** Guards against an interim head that is skipped without a look at its fields. */
         @Test(dataProvider = "malformedInterimHeads", dataProviderClass = ResponseForms.class)
-        public void interimHead(String form) throws IOException {
+        public void interimHead(Form form) throws IOException {
             assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
         }
 
         /** Guards against chunks and trailers that end a body elsewhere than the endpoint did. */
         @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
-        public void chunks(String form) throws IOException {
+        public void chunks(Form form) throws IOException {
             assertUnknownOutcome("unsafe", scripted(form, "c1"), OPEN);
         }
 
         /** Guards against a stream that starts although its head is malformed. */
         @Test(dataProvider = "malformedFraming", dataProviderClass = ResponseForms.class)
-        public void headOfAStream(String form) throws IOException {
-            assertUnknownOutcome("stream", scripted(form.replace("hello", event(1)), "c1"), OPEN);
+        public void headOfAStream(Form form) throws IOException {
+            assertUnknownOutcome("stream", scripted(form.replacing("hello", event(1)), "c1"), OPEN);
         }
 
         /** Guards against a body that ends in the middle of its trailers and counts as complete. */
@@ -113,7 +115,9 @@
             String whole = "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n";
             for (String end : new String[] {"0\r\n", "0\r\nX-T: 1\r\n", "0\r\n\r", "0\r\nX-T"}) {
                 assertUnknownOutcome(
-                        "unsafe", scripted(whole + "5\r\nhello\r\n" + end, "c1"), new Step.Close());
+                        "unsafe",
+                        scripted(new Form(whole + "5\r\nhello\r\n" + end), "c1"),
+                        new Step.Close());
                 entry.close();
                 start();
             }
@@ -122,8 +126,8 @@
 
     /** Streams whose framing is malformed after their first events. */
     public static final class Streams extends CallFixture {
-        private static final String HEAD =
-                "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n";
+        private static final Form HEAD =
+                new Form("HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n");
 
         /** Guards against a stream that looks complete at malformed trailers. */
         @Test
@@ -173,8 +177,8 @@
 
     /** Connections on which a malformed response has come. */
     public static final class Connections extends EndpointFaultsTest.SingleEndpoint {
-        private static final String SOUND =
-                "HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\none";
+        private static final Form SOUND =
+                new Form("HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\none");
 
         private Step.Send sound(String callId) {
             return new Step.Send(response(SOUND, callId));
@@ -182,7 +186,7 @@
 
         /** Guards against a malformed response that counts as one because others came before. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void reusedConnectionIsClosed(String form) throws Exception {
+        public void reusedConnectionIsClosed(Form form) throws Exception {
             makeFirstCall(sound("c1"));
             entry.endpoint().respond(scripted(form, "c2"), OPEN).respond(sound("c3"));
             String response = entry.call("unsafe", "c2", "", "");
@@ -250,7 +254,7 @@
     public static final class SoundResponses extends EndpointFaultsTest.SingleEndpoint {
         /** Guards against failing sound responses, and against connections closed after them. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void responseIsRelayed(String form) throws IOException {
+        public void responseIsRelayed(Form form) throws IOException {
             for (String id : new String[] {"c1", "c2"}) {
                 entry.endpoint().respond(scripted(form, id));
                 String response = entry.call("unsafe", id, "", "");
@@ -262,11 +266,11 @@
 
         /** Guards against cutting a response after which its endpoint closes. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void responseBeforeACloseIsRelayed(String form) throws IOException {
+        public void responseBeforeACloseIsRelayed(Form form) throws IOException {
             entry.endpoint()
                     .respond(
                             scripted(
-                                    form.replace("{fields}", "{fields}Connection: close\r\n"),
+                                    form.replacing("{fields}", "{fields}Connection: close\r\n"),
                                     "c1"),
                             new Step.Close());
             String response = entry.call("unsafe", "c1", "", "");
@@ -280,7 +284,7 @@
             for (String version : new String[] {"HTTP/1.0", "HTTP/1.1"}) {
                 entry.endpoint()
                         .respond(
-                                scripted(version + " 200 OK\r\n{fields}\r\nhello", "c1"),
+                                scripted(new Form(version + " 200 OK\r\n{fields}\r\nhello"), "c1"),
                                 new Step.Close());
                 String response = entry.call("unsafe", "c1", "", "");
                 assertTrue(response.startsWith("HTTP/1.1 200"), response);
@@ -312,7 +316,12 @@
                 entry.endpoint()
                         .respond(
                                 scripted(
-                                        "HTTP/1.1 " + status + " X\r\n{fields}" + fields + "\r\n",
+                                        new Form(
+                                                "HTTP/1.1 "
+                                                        + status
+                                                        + " X\r\n{fields}"
+                                                        + fields
+                                                        + "\r\n"),
                                         id));
                 String request = EntryFixture.request("unsafe", id, "Connection: close\r\n", "");
                 String response = entry.sendRaw(request.replace("POST ", method + " "));
@@ -326,7 +335,7 @@
     public static final class ForwardedCalls extends ForwardFixture {
         /** Guards against forwarding a malformed head, or calling the call not run. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void outcomeIsUnknown(String form) throws IOException {
+        public void outcomeIsUnknown(Form form) throws IOException {
             endpoint.respond(scripted(form, "c1"), OPEN);
             Result result = forward(call("c1").build());
             assertTrue(result.last() instanceof ForwardReply.Unknown, "" + result.last());
@@ -335,7 +344,7 @@
 
         /** Guards against a body that looks whole to the other host at malformed chunks. */
         @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
-        public void malformedChunksBreakTheConnectionOff(String form) throws IOException {
+        public void malformedChunksBreakTheConnectionOff(Form form) throws IOException {
             endpoint.respond(scripted(form, "c1"), OPEN);
             Result result = forward(call("c1").build());
             assertTrue(
@@ -345,7 +354,7 @@
 
         /** Guards against failing sound responses. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void soundResponseIsForwarded(String form) throws IOException {
+        public void soundResponseIsForwarded(Form form) throws IOException {
             endpoint.respond(scripted(form, "c1"));
             Result result = forward(call("c1").build());
             assertTrue(result.last() instanceof ForwardReply.Head, "" + result.last());
@@ -372,30 +381,29 @@
         }
 
         /** Fields that a forwarding host of an earlier build may pass on, or a broken one. */
-        @DataProvider
-        public static Object[][] malformedFields() {
-            return new Object[][] {
-                {"Content-Length", "+5"},
-                {"Content-Length", "5, 5"},
-                {"Content-Length", ""},
-                {"Transfer-Encoding", "gzip"},
-                {"Transfer-Encoding", "chunked, chunked"},
-                {"X Name", "1"},
-                {"X-Na\u0001me", "1"},
-                {"X:Name", "1"},
-                {"", "1"},
-                {"X-Name", "a\r\nX-Other: b"},
-                {"X-Name", "a\u0000"},
-                {"X-Name", "\u0100"},
-            };
-        }
+        private static final String[][] MALFORMED_FIELDS = {
+            {"Content-Length", "+5"},
+            {"Content-Length", "5, 5"},
+            {"Content-Length", ""},
+            {"Transfer-Encoding", "gzip"},
+            {"Transfer-Encoding", "chunked, chunked"},
+            {"X Name", "1"},
+            {"X-Na\u0001me", "1"},
+            {"X:Name", "1"},
+            {"", "1"},
+            {"X-Name", "a\r\nX-Other: b"},
+            {"X-Name", "a\u0000"},
+            {"X-Name", "\u0100"},
+        };
 
         /** Guards against a head that a host of an earlier build has taken for a sound one. */
-        @Test(dataProvider = "malformedFields")
-        public void malformedFieldIsNotRelayed(String name, String value) throws Exception {
-            assertEquals(
-                    outcomeOf(200, new ForwardedCall.Header(name, value)),
-                    new AttemptOutcome.Unknown());
+        @Test
+        public void malformedFieldIsNotRelayed() throws Exception {
+            for (String[] field : MALFORMED_FIELDS) {
+                AttemptOutcome outcome =
+                        outcomeOf(200, new ForwardedCall.Header(field[0], field[1]));
+                assertEquals(outcome, new AttemptOutcome.Unknown(), field[0] + ": " + field[1]);
+            }
         }
 
         /** Guards against relaying one of two lengths. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/http/CallerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/http/CallerTest.java
@@ -26,6 +26,7 @@
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
 import org.tamarackfold.transport.ResponseForms;
+import org.tamarackfold.transport.ResponseForms.Form;
 import org.tamarackfold.transport.ResponseHead;
 import org.tamarackfold.transport.TransportFailure;
 import org.testng.annotations.AfterMethod;
@@ -155,8 +156,8 @@
 
         /** Guards against a caller that takes malformed bytes for a response. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void malformedHeadIsAFailure(String form) throws Exception {
-            host.respond(new Step.Send(ResponseForms.fill(form, "")), new Step.Pause(5_000));
+        public void malformedHeadIsAFailure(Form form) throws Exception {
+            host.respond(new Step.Send(form.with("")), new Step.Pause(5_000));
             Either<TransportFailure, ResponseHead> end = start(Duration.ZERO).await(2_000);
             assertTrue(end.isLeft(), "" + end);
             assertTrue(end.getLeft() instanceof TransportFailure.Malformed, "" + end);
@@ -164,8 +165,8 @@
 
         /** Guards against failing sound responses. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void soundResponseIsRead(String form) throws Exception {
-            host.respond(new Step.Send(ResponseForms.fill(form, "")));
+        public void soundResponseIsRead(Form form) throws Exception {
+            host.respond(new Step.Send(form.with("")));
             Reception reception = start(Duration.ZERO);
             assertEquals(reception.await(2_000).get().status(), 200);
             assertEquals(reception.body(), "hello");
--- a/tamarackfold.test/src/test/java/org/tamarackfold/peer/http/MalformedRepliesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/peer/http/MalformedRepliesTest.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
 import org.tamarackfold.transport.ResponseForms;
+import org.tamarackfold.transport.ResponseForms.Form;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -49,8 +50,8 @@
             runtime.stop();
         }
 
-        Either<String, byte[]> replyTo(String form) throws Exception {
-            host.respond(new Step.Send(ResponseForms.fill(form, "")), new Step.Pause(5_000));
+        Either<String, byte[]> replyTo(Form form) throws Exception {
+            host.respond(new Step.Send(form.with("")), new Step.Pause(5_000));
             return messages.send(host.address(), "/path", new byte[0], TIMEOUT)
                     .get(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
         }
@@ -58,26 +59,26 @@
 
     /** Messages between entry hosts. */
     public static final class Messages extends Fixture {
-        private void assertMalformed(String form) throws Exception {
+        private void assertMalformed(Form form) throws Exception {
             Either<String, byte[]> reply = replyTo(form);
             assertTrue(reply.isLeft() && reply.getLeft().startsWith("Malformed"), "" + reply);
         }
 
         /** Guards against a message that is decoded from bytes that are no response. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void malformedHeadIsNoReply(String form) throws Exception {
+        public void malformedHeadIsNoReply(Form form) throws Exception {
             assertMalformed(form);
         }
 
         /** Guards against a message that ends elsewhere than its sender has ended it. */
         @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
-        public void malformedChunksAreNoReply(String form) throws Exception {
+        public void malformedChunksAreNoReply(Form form) throws Exception {
             assertMalformed(form);
         }
 
         /** Guards against failing the replies of sound hosts. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void soundReplyArrives(String form) throws Exception {
+        public void soundReplyArrives(Form form) throws Exception {
             assertEquals(new String(replyTo(form).get(), StandardCharsets.US_ASCII), "hello");
         }
     }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/platform/StoreResponsesTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/platform/StoreResponsesTest.java
@@ -19,6 +19,7 @@
 import org.tamarackfold.transport.IoRuntime;
 import org.tamarackfold.transport.PooledHttpClient;
 import org.tamarackfold.transport.ResponseForms;
+import org.tamarackfold.transport.ResponseForms.Form;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -83,8 +84,8 @@
             store.respond("200 OK", "Content-Type: application/json", body);
         }
 
-        void respondWith(String form) {
-            store.respond(new Step.Send(ResponseForms.fill(form, "")), new Step.Pause(3_000));
+        void respondWith(Form form) {
+            store.respond(new Step.Send(form.with("")), new Step.Pause(3_000));
         }
 
         static <T> Either<Failure, T> await(CompletableFuture<Either<Failure, T>> result)
@@ -118,7 +119,7 @@
     public static final class MalformedHeads extends Fixture {
         /** Guards against a lease that counts as renewed because of bytes that are no response. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void aRenewalFails(String form) throws Exception {
+        public void aRenewalFails(Form form) throws Exception {
             respondWith(form);
             Failure failure = await(client.renewLease(1)).getLeft();
             assertEquals(failure.executionStatus(), ExecutionStatus.UNKNOWN);
@@ -126,14 +127,14 @@
 
         /** Guards against a malformed response that is read to its end as if it were sound. */
         @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
-        public void aRenewalWithMalformedChunksFails(String form) throws Exception {
+        public void aRenewalWithMalformedChunksFails(Form form) throws Exception {
             respondWith(form);
             assertTrue(await(client.renewLease(1)).isLeft());
         }
 
         /** Guards against failing the renewals that a sound service answers. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void aRenewalSucceeds(String form) throws Exception {
+        public void aRenewalSucceeds(Form form) throws Exception {
             respondWith(form);
             assertTrue(await(client.renewLease(1)).get());
         }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseForms.java
@@ -6,7 +6,7 @@
 
 /**
  * Responses inside and outside of the grammar of HTTP (RFC 9110, RFC 9112), for the tests of all
- * that reads responses. The text {@code {fields}} stands where a test puts fields of its own.
+ * that reads responses.
  */
 public final class ResponseForms {
     private static final String OK = "HTTP/1.1 200 OK\r\n{fields}";
@@ -26,13 +26,44 @@
         return line + "\r\n{fields}Content-Length: 5\r\n\r\nhello";
     }
 
-    /** Returns a form with the given fields in it, each with its line end. */
-    public static String fill(String form, String fields) {
-        return form.replace("{fields}", fields);
+    /**
+     * A response, as Latin-1 text. Its string form has no control characters, which test reports
+     * cannot hold.
+     *
+     * @param text the bytes; {@code {fields}} stands where a test puts fields of its own
+     */
+    public record Form(String text) {
+        /** Returns the bytes with the given fields, each of which has its line end. */
+        public String with(String fields) {
+            return text.replace("{fields}", fields);
+        }
+
+        /** Returns the form behind other bytes. */
+        public Form after(String bytes) {
+            return new Form(bytes + text);
+        }
+
+        /** Returns the form with some of its text replaced. */
+        public Form replacing(String part, String replacement) {
+            return new Form(text.replace(part, replacement));
+        }
+
+        @Override
+        public String toString() {
+            StringBuilder printable = new StringBuilder();
+            for (char character : text.toCharArray()) {
+                if (character >= ' ' && character < 0x7f) {
+                    printable.append(character);
+                } else {
+                    printable.append("<%02x>".formatted((int) character));
+                }
+            }
+            return printable.toString();
+        }
     }
 
-    private static Object[][] rows(Stream<String> forms) {
-        return forms.map(form -> new Object[] {form}).toArray(Object[][]::new);
+    private static Object[][] rows(Stream<String> texts) {
+        return texts.map(text -> new Object[] {new Form(text)}).toArray(Object[][]::new);
     }
 
     /** Heads whose statement of the length or of the coding of the body is not valid. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ResponseHeadCheckTest.java
@@ -12,14 +12,15 @@
 import java.util.Locale;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.tamarackfold.transport.ResponseForms.Form;
 import org.testng.annotations.Test;
 
 /** The grammar of the heads and the chunks of responses, without a network. */
 public final class ResponseHeadCheckTest {
     private ResponseHeadCheckTest() {}
 
-    private static byte[] bytes(String form) {
-        return ResponseForms.fill(form, "X-Field: 1\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    private static byte[] bytes(Form form) {
+        return form.with("X-Field: 1\r\n").getBytes(StandardCharsets.ISO_8859_1);
     }
 
     /**
@@ -47,7 +48,7 @@
         return heads.isComplete() ? heads.framing() : null;
     }
 
-    private static void assertMalformed(String form) {
+    private static void assertMalformed(Form form) {
         byte[] response = bytes(form);
         for (int partBytes : new int[] {response.length, 1, 2, 3, 7}) {
             assertThrows(MalformedResponseException.class, () -> check(response, partBytes, false));
@@ -58,25 +59,25 @@
     public static final class Malformed {
         /** Guards against a head that a client library would interpret in its own way. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void head(String form) {
+        public void head(Form form) {
             assertMalformed(form);
         }
 
         /** Guards against an interim head that is skipped without a look at its fields. */
         @Test(dataProvider = "malformedInterimHeads", dataProviderClass = ResponseForms.class)
-        public void interimHead(String form) {
+        public void interimHead(Form form) {
             assertMalformed(form);
         }
 
         /** Guards against a final head that is not checked because an interim one precedes it. */
         @Test(dataProvider = "malformedHeads", dataProviderClass = ResponseForms.class)
-        public void headAfterAnInterimHead(String form) {
-            assertMalformed("HTTP/1.1 102 Processing\r\nLink: </a>\r\n\r\n" + form);
+        public void headAfterAnInterimHead(Form form) {
+            assertMalformed(form.after("HTTP/1.1 102 Processing\r\nLink: </a>\r\n\r\n"));
         }
 
         /** Guards against a body that ends elsewhere than the server has ended it. */
         @Test(dataProvider = "malformedChunks", dataProviderClass = ResponseForms.class)
-        public void chunks(String form) {
+        public void chunks(Form form) {
             assertMalformed(form);
         }
     }
@@ -84,12 +85,12 @@
     /** Heads that state how their body is framed. */
     public static final class Framing {
         private BodyFraming framing(String head) throws MalformedResponseException {
-            return check(bytes(head), 1, false);
+            return check(bytes(new Form(head)), 1, false);
         }
 
         /** Guards against failing what sound servers send. */
         @Test(dataProvider = "soundResponses", dataProviderClass = ResponseForms.class)
-        public void soundResponsePasses(String form) throws MalformedResponseException {
+        public void soundResponsePasses(Form form) throws MalformedResponseException {
             byte[] response = bytes(form);
             BodyFraming whole = check(response, response.length, false);
             assertTrue(
@@ -127,7 +128,7 @@
         @Test
         public void noBodyFollowsTheResponseToHead() throws MalformedResponseException {
             for (String field : new String[] {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
-                byte[] head = bytes("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n");
+                byte[] head = bytes(new Form("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n"));
                 assertEquals(check(head, 1, true), new BodyFraming.NoBody(), field);
             }
         }
@@ -143,7 +144,8 @@
         /** Guards against a check that takes the bytes of a body for those of a head. */
         @Test
         public void theBodyIsNotPartOfTheHead() throws MalformedResponseException {
-            byte[] response = bytes("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\u0000\n\r\n");
+            byte[] response =
+                    bytes(new Form("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n\u0000\n\r\n"));
             assertEquals(check(response, response.length, false), new BodyFraming.Length(4));
         }
     }
