--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamResumptionTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/StreamResumptionTest.java
@@ -126,6 +126,37 @@
         }
     }
 
+    /** Streams whose rest an endpoint sends with a malformed head. */
+    public static final class MalformedHeads extends TwoVersions {
+        private static final String REPEATED_CODING =
+                HEAD.replace("\r\n\r\n", "\r\nTransfer-Encoding: gzip\r\n\r\n");
+
+        /** Guards against events of a malformed response, and against ending the stream. */
+        @Test
+        public void goesOnAtAnotherEndpoint() throws IOException {
+            for (int i = 0; i < PROGRAMS; i++) {
+                beginAndBreakOff("c" + i, program(i));
+            }
+            entry.deregister(0);
+            entry.register(1, OLD);
+            entry.register(2, OLD);
+            ScriptedEndpoint sound = entry.endpoints.get(1);
+            ScriptedEndpoint faulty = entry.endpoints.get(2);
+            for (int i = 0; i < PROGRAMS; i++) {
+                sound.respond(new Step.Send(HEAD), event(2), CallFixture.LAST_CHUNK);
+                faulty.respond(new Step.Send(REPEATED_CODING), event(9), new Step.Pause(3_000));
+                String headers = program(i) + resuming("c" + i);
+                String response = entry.call("resumable", "r" + i, headers, "x");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+                assertTrue(response.contains("word2"), response);
+                assertFalse(response.contains("word9"), response);
+                assertTrue(response.endsWith("0\r\n\r\n"), response);
+            }
+            assertEquals(sound.received().size(), PROGRAMS);
+            assertTrue(faulty.received().size() > 0, "no call was sent to the faulty endpoint");
+        }
+    }
+
     /** Streams that go on while an endpoint of their version serves. */
     public static final class GoesOn extends TwoVersions {
         /** Guards against a stream that goes on at another version at the same entry host. */
