Name the framing of a body alike in all checks, and allocate nothing per byte

FieldSectionCheck created a function object for each byte of a value.

Checked: MalformedResponsesTest, ResponseHeadCheckTest and CallerTest pass.

--- a/tamarackfold/src/main/java/org/tamarackfold/transport/FieldSectionCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/FieldSectionCheck.java
@@ -4,7 +4,7 @@
 
 /**
  * Checks the fields of a head or of trailers (RFC 9112, 5) byte by byte, up to the empty line that
- * ends them. Folded lines and lines that end without a carriage return are refused, as the RFC
+ * ends them. Folded lines and lines that end without a carriage return are rejected, as the RFC
  * allows. Fails at the first wrong byte, since no further one may come. Not thread-safe.
  */
 final class FieldSectionCheck {
@@ -114,7 +114,9 @@
 
     private State inValue(int next) throws MalformedResponseException {
         checkValueCharacter(next);
-        value.forEach(kept -> kept.append((char) next));
+        if (value.isDefined()) {
+            value.get().append((char) next);
+        }
         return State.VALUE;
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/FramingFields.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/FramingFields.java
@@ -73,11 +73,11 @@
      * Returns how the body of a response with these fields is framed.
      *
      * @param minorVersion the minor version of HTTP/1 that the response states
-     * @param answersHead whether the response is one to a HEAD request
+     * @param respondsToHead whether the request has the method HEAD
      * @throws MalformedResponseException when the fields contradict each other, the status or the
      *     version
      */
-    BodyFraming of(int status, int minorVersion, boolean answersHead)
+    BodyFraming bodyFraming(int status, int minorVersion, boolean respondsToHead)
             throws MalformedResponseException {
         if (chunked && length.isDefined()) {
             throw new MalformedResponseException("both Content-Length and Transfer-Encoding");
@@ -89,7 +89,7 @@
         if (neverHasBody && (chunked || length.exists(bytes -> bytes > 0))) {
             throw new MalformedResponseException("status " + status + " with a body");
         }
-        if (neverHasBody || status == NOT_MODIFIED || answersHead) {
+        if (neverHasBody || status == NOT_MODIFIED || respondsToHead) {
             return new BodyFraming.NoBody();
         }
         if (chunked) {
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
@@ -33,7 +33,7 @@
     /** Also set while no response is expected. */
     private State state = State.COMPLETE;
 
-    private boolean answersHead;
+    private boolean respondsToHead;
 
     /** The position in the fixed beginning of the status line. */
     private int position;
@@ -45,10 +45,10 @@
     /**
      * Expects the heads of the next response.
      *
-     * @param respondsToHead whether the request has the method HEAD
+     * @param toHeadRequest whether the request has the method HEAD
      */
-    void startResponse(boolean respondsToHead) {
-        answersHead = respondsToHead;
+    void startResponse(boolean toHeadRequest) {
+        respondsToHead = toHeadRequest;
         startHead();
     }
 
@@ -153,7 +153,7 @@
         if (!fields.isComplete()) {
             return;
         }
-        framing = fields.framing().of(status, minorVersion, answersHead);
+        framing = fields.framing().bodyFraming(status, minorVersion, respondsToHead);
         if (status < FIRST_FINAL_STATUS) {
             startHead();
         } else {
