Add malformed heads of endpoints to the soak

The selection spoiled_heads adds a line to the heads of sound responses of an endpoint, so that they keep the id of the call and the signature.

Checked: SoakTest and CallerTest pass.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -44,8 +44,9 @@
             description =
                     "planned, unplanned, all, versions (all, with two software versions), cuts (hosts"
                             + " cut off from endpoints, beside planned work), keys (withdrawn"
-                            + " while the key-value service rejects hosts, likewise), or"
-                            + " spoiled_responses (bytes of endpoints that are no response)")
+                            + " while the key-value service rejects hosts, likewise),"
+                            + " spoiled_responses (bytes of endpoints that are no response), or"
+                            + " spoiled_heads (malformed heads of endpoints)")
     @AllowedRawValues(
             allowedValues = {
                 "planned",
@@ -54,7 +55,8 @@
                 "versions",
                 "cuts",
                 "keys",
-                "spoiled_responses"
+                "spoiled_responses",
+                "spoiled_heads"
             })
     private String faults = "all";
 
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/LoopbackProxy.java
@@ -66,6 +66,14 @@
          * @param interval one block of so many is replaced
          */
         record Spoiled(SpoiledResponse response, int interval) implements Condition {}
+
+        /**
+         * Some heads of responses get a further line.
+         *
+         * @param head the line
+         * @param interval one head of so many is spoiled
+         */
+        record SpoiledHeads(SpoiledHead head, int interval) implements Condition {}
     }
 
     private static final int BLOCK_BYTES = 16 * 1024;
@@ -139,6 +147,7 @@
                     Condition.Refusing(),
                     Condition.Delayed(long _),
                     Condition.Spoiled(SpoiledResponse _, int _),
+                    Condition.SpoiledHeads(SpoiledHead _, int _),
                     Condition.Silent(boolean _, boolean _) -> {
                 if (!listened) {
                     stopListening();
@@ -284,7 +293,7 @@
                         }
                     }
                     if (passes(toServer)) {
-                        output.write(block, 0, length);
+                        write(output, block, length, toServer);
                     }
                 }
                 awaitPassing();
@@ -301,6 +310,19 @@
             }
         }
 
+        /** Passes a block on, and spoils the head with which it begins if the condition says so. */
+        private void write(OutputStream output, byte[] block, int length, boolean toServer)
+                throws IOException {
+            if (!toServer
+                    && condition instanceof Condition.SpoiledHeads spoiled
+                    && SpoiledHead.isHead(block, length)
+                    && responseBlocks.incrementAndGet() % spoiled.interval() == 0) {
+                output.write(spoiled.head().addTo(block, length));
+                return;
+            }
+            output.write(block, 0, length);
+        }
+
         /** Applies the condition; returns false when bytes of this direction are lost. */
         private boolean passes(boolean toServer) {
             switch (condition) {
@@ -313,6 +335,7 @@
                         Condition.Refusing(),
                         Condition.Hanging(),
                         Condition.Spoiled(SpoiledResponse _, int _),
+                        Condition.SpoiledHeads(SpoiledHead _, int _),
                         Condition.Closed(boolean _) -> {}
             }
             return toServer ? !silentToServer : !silentToClient;
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/SpoiledResponse.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/SpoiledResponse.java
@@ -13,21 +13,6 @@
     /** An interim response that no final one follows. */
     INTERIM("HTTP/1.1 102 Processing\r\n\r\n", ""),
 
-    /** A head that states its length twice. */
-    REPEATED_LENGTH(signedHead() + "Content-Length: 4\r\nContent-Length: 4\r\n\r\nword", ""),
-
-    /** A head that states a coding which nobody has asked for. */
-    UNASKED_CODING(signedHead() + "Transfer-Encoding: gzip\r\n\r\nword", ""),
-
-    /** A head with a line that is no field. */
-    FOLDED_LINE(signedHead() + " folded\r\nContent-Length: 4\r\n\r\nword", ""),
-
-    /** A head with a status out of range. */
-    STATUS_OUT_OF_RANGE("HTTP/1.1 999 Unknown\r\nContent-Length: 4\r\n\r\nword", ""),
-
-    /** A whole body behind which a line is no trailer. */
-    MALFORMED_TRAILER(chunkedHead() + "4\r\nword\r\n0\r\nno trailer: 1\r\n\r\n", ""),
-
     /** Interim responses without end. */
     ENDLESS_INTERIM("", "HTTP/1.1 102 Processing\r\n\r\n"),
 
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
+import org.tamarackfold.daemon.soak.http.SpoiledHead;
 import org.tamarackfold.daemon.soak.http.SpoiledResponse;
 
 /** Chooses faults at random from a seed. Used by one thread. */
@@ -73,6 +74,9 @@
         if (faults == SoakOptions.FaultSelection.SPOILED_RESPONSES) {
             return random.nextInt(4) > 0 ? spoiledResponses() : nextPlanned();
         }
+        if (faults == SoakOptions.FaultSelection.SPOILED_HEADS) {
+            return random.nextInt(4) > 0 ? spoiledHeads() : nextPlanned();
+        }
         if (faults == SoakOptions.FaultSelection.KEYS) {
             return random.nextBoolean() ? withdrawUnseen() : nextPlanned();
         }
@@ -123,10 +127,21 @@
     private Fault spoiledResponses() {
         Fleet.Slot slot = pick(fleet.slots);
         SpoiledResponse response = pick(List.of(SpoiledResponse.values()));
+        return spoil(slot, new Condition.Spoiled(response, 1 + random.nextInt(3)));
+    }
+
+    /** Has an endpoint spoil a third to all of its heads for some seconds. */
+    private Fault spoiledHeads() {
+        Fleet.Slot slot = pick(fleet.slots);
+        SpoiledHead head = pick(List.of(SpoiledHead.values()));
+        return spoil(slot, new Condition.SpoiledHeads(head, 1 + random.nextInt(3)));
+    }
+
+    private Fault spoil(Fleet.Slot slot, Condition condition) {
         return new Fault.Disconnect(
                 "hosts and " + slot.endpoint.id(),
                 List.of(slot.endpoint.proxy()),
-                new Condition.Spoiled(response, 1 + random.nextInt(3)),
+                condition,
                 500 + random.nextInt(4_000),
                 false);
     }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
@@ -37,6 +37,8 @@
         CUTS,
         /** Endpoints that send bytes that are no response, beside planned work. */
         SPOILED_RESPONSES,
+        /** Endpoints that send malformed heads, beside planned work. */
+        SPOILED_HEADS,
         /** Keys withdrawn while the key-value service rejects entry hosts, beside planned work. */
         KEYS;
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
@@ -89,4 +89,13 @@
             checkSeed(7, Duration.ofSeconds(12), FaultSelection.SPOILED_RESPONSES);
         }
     }
+
+    /** Endpoints that send malformed heads. */
+    public static final class SpoiledHeads {
+        /** Guards against responses that reach callers with a body that is not the endpoint's. */
+        @Test
+        public void promisesHold() throws Exception {
+            checkSeed(2, Duration.ofSeconds(12), FaultSelection.SPOILED_HEADS);
+        }
+    }
 }
