--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ResponseHeadCheck.java
@@ -5,9 +5,9 @@
 /**
  * Checks that the heads of a response, interim ones and the final one, are in the grammar of
  * HTTP/1.1 (RFC 9110, RFC 9112), and finds out how the body is framed. All responses that this
- * process reads pass it before any client library parses them: a library that guesses what a
- * malformed head means makes a response of it that the server has not sent. Fails at the first
- * wrong byte, since no further one may come. Not thread-safe.
+ * process reads pass it before a client library parses them: a lenient library accepts malformed
+ * heads and may find another body than the server has sent. Fails at the first wrong byte, since no
+ * further one may come. Not thread-safe.
  */
 final class ResponseHeadCheck {
     /** The beginning of a status line, in which {@link #ANY_DIGIT} stands for each digit. */
