Log why connections to endpoints broke during calls

An ended endpoint, a lost response and a cut path all were Unknown with Broken[reason=null]. A break is now traced by up to two new connections after it: refused twice is an end, an opened one or bytes on another connection a lost response, no answer a cut. Draining and unregistered endpoints and standstills of this host are told apart as well. The trace changes no decision yet. Breaks of one start of an endpoint share a trace.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.EndpointTables;
@@ -210,6 +211,12 @@
                         scheduler,
                         new Random(3),
                         reachesEndpoints -> {}),
+                new BreakTracer(
+                        endpointTable,
+                        new PooledEndpointConnections(client),
+                        nanos -> false,
+                        scheduler,
+                        metrics),
                 new ForwardingHosts(
                         new HostId("entry-1"),
                         new AvailabilityZone("a"),
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.EndpointTables;
@@ -115,6 +116,12 @@
                                 scheduler,
                                 new Random(3),
                                 reachesEndpoints -> {}),
+                        new BreakTracer(
+                                endpointTable,
+                                new PooledEndpointConnections(client),
+                                nanos -> false,
+                                scheduler,
+                                new HostMetrics()),
                         new ForwardingHosts(
                                 new HostId("entry-1"),
                                 new AvailabilityZone("a"),
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LeavingEndpointsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/LeavingEndpointsTest.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
-import org.tamarackfold.endpoint.LeavingEndpoints.Incarnation;
 import org.tamarackfold.id.Address;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/ReachabilityMonitorTest.java
@@ -58,13 +58,17 @@
 
         final class Connections implements EndpointConnections {
             @Override
-            public CompletableFuture<Boolean> test(EndpointRecord endpoint) {
+            public CompletableFuture<ConnectionProbe> probe(EndpointRecord endpoint) {
                 opened.add(endpoint.id());
-                CompletableFuture<Boolean> result = new CompletableFuture<>();
+                CompletableFuture<ConnectionProbe> result = new CompletableFuture<>();
                 boolean hangs = cut.contains(endpoint.id());
                 scheduler.after(
                         Duration.ofMillis(hangs ? TIMEOUT_MILLIS : CONNECT_MILLIS),
-                        () -> result.complete(!hangs));
+                        () ->
+                                result.complete(
+                                        hangs
+                                                ? new ConnectionProbe.Unanswered()
+                                                : new ConnectionProbe.Opened()));
                 return result;
             }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/transport/ConnectionTimeoutTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/transport/ConnectionTimeoutTest.java
@@ -43,7 +43,7 @@
         CompletableFuture<Boolean> test(Duration timeout) {
             CompletableFuture<Boolean> opened = new CompletableFuture<>();
             Address address = new Address("127.0.0.1", server.getLocalPort());
-            client.testConnection(address, timeout, opened::complete);
+            client.testConnection(address, timeout, failure -> opened.complete(failure.isEmpty()));
             return opened;
         }
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
@@ -31,6 +32,7 @@
     private final CallId call;
     private final PooledHttpClient client;
     private final ReachabilityMonitor reachability;
+    private final BreakTracer breaks;
     private final CallHeaderNames headerNames;
     private final ResponseVerifier verifier;
     private final EndpointTable endpoints;
@@ -39,6 +41,7 @@
     private final HostMetrics metrics;
     private final Listener listener;
     private ExchangeHandle handle;
+    private long startedAtNanos;
 
     private boolean headAccepted;
 
@@ -51,6 +54,7 @@
         this.call = call;
         this.client = dependencies.client();
         this.reachability = dependencies.paths().reachability();
+        this.breaks = dependencies.paths().breaks();
         this.headerNames = dependencies.headerNames();
         this.verifier = new ResponseVerifier(headerNames);
         this.endpoints = dependencies.endpoints();
@@ -81,6 +85,7 @@
                         .connectTimeout(CONNECT_TIMEOUT)
                         .withoutResponseTimeout()
                         .build();
+        startedAtNanos = System.nanoTime();
         handle = client.send(httpRequest, this);
     }
 
@@ -165,6 +170,7 @@
         if (failure instanceof TransportFailure.Malformed) {
             metrics.recordMalformedResponse(endpoint.service().value());
         }
+        traceBreak(failure);
         if (headAccepted) {
             listener.onResponseFailure(String.valueOf(failure));
             return;
@@ -182,6 +188,14 @@
         listener.onNoResponse(outcome, String.valueOf(failure));
     }
 
+    /** A connection that was closed or reset does not tell whether its endpoint has ended. */
+    private void traceBreak(TransportFailure failure) {
+        if (failure instanceof TransportFailure.Broken
+                || failure instanceof TransportFailure.ClosedBeforeResponse) {
+            breaks.trace(endpoint, startedAtNanos);
+        }
+    }
+
     /** A connection that breaks may be the first sign of a cut, but endpoints reset some, too. */
     private void reportPath(TransportFailure failure) {
         if (failure instanceof TransportFailure.NotSent) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointPaths.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointPaths.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.caller.http;
 
+import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
 import org.tamarackfold.peer.ForwardingHosts;
 
@@ -7,6 +8,8 @@
  * The ways from this host to endpoints.
  *
  * @param reachability finds out which endpoints this host reaches itself
+ * @param breaks finds out why connections broke
  * @param forwardingHosts selects the hosts that forward calls to the others
  */
-public record EndpointPaths(ReachabilityMonitor reachability, ForwardingHosts forwardingHosts) {}
+public record EndpointPaths(
+        ReachabilityMonitor reachability, BreakTracer breaks, ForwardingHosts forwardingHosts) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/EndpointTable.java
@@ -12,7 +12,6 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import org.tamarackfold.endpoint.LeavingEndpoints.Incarnation;
 import org.tamarackfold.endpoint.cost.PlacementPolicy;
 import org.tamarackfold.id.AvailabilityZone;
 import org.tamarackfold.id.EndpointId;
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/LeavingEndpoints.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/LeavingEndpoints.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Predicate;
-import org.tamarackfold.id.EndpointId;
 
 /**
  * The endpoints that have stated in a response that they leave. A mark belongs to one start of an
@@ -28,17 +27,6 @@
     /** Upper bound of the marks, which bounds their memory; the oldest is removed first. */
     private static final int MAXIMUM_MARKS = 4_096;
 
-    /** One start of an endpoint; the start time is 0 when it is unknown. */
-    record Incarnation(EndpointId id, long startedAtMillis) {
-        static Incarnation of(EndpointRecord record) {
-            return new Incarnation(record.id(), record.startedAtMillis());
-        }
-
-        boolean hasStartTime() {
-            return startedAtMillis != 0;
-        }
-    }
-
     private record Mark(long statedAtNanos, boolean removedSince) {}
 
     /** Ordered by the last statement, oldest first. */
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/http/PooledEndpointConnections.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/http/PooledEndpointConnections.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.tamarackfold.endpoint.ConnectionProbe;
 import org.tamarackfold.endpoint.EndpointConnections;
 import org.tamarackfold.endpoint.EndpointRecord;
+import org.tamarackfold.transport.ConnectFailure;
 import org.tamarackfold.transport.PooledHttpClient;
 
 /** The connections to endpoints in the pool of the HTTP client. */
@@ -22,10 +24,25 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> test(EndpointRecord endpoint) {
-        CompletableFuture<Boolean> opened = new CompletableFuture<>();
-        client.testConnection(endpoint.address(), OPEN_TIMEOUT, opened::complete);
-        return opened;
+    public CompletableFuture<ConnectionProbe> probe(EndpointRecord endpoint) {
+        CompletableFuture<ConnectionProbe> result = new CompletableFuture<>();
+        client.testConnection(
+                endpoint.address(),
+                OPEN_TIMEOUT,
+                failure ->
+                        result.complete(
+                                failure.fold(
+                                        ConnectionProbe.Opened::new,
+                                        PooledEndpointConnections::probe)));
+        return result;
+    }
+
+    private static ConnectionProbe probe(ConnectFailure failure) {
+        return switch (failure) {
+            case ConnectFailure.Refused(String _) -> new ConnectionProbe.Refused();
+            case ConnectFailure.TimedOut(), ConnectFailure.Failed(String _) ->
+                    new ConnectionProbe.Unanswered();
+        };
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -43,6 +43,12 @@
                     "malformed_responses",
                     "Responses of endpoints outside of the grammar of HTTP, by service.",
                     "service");
+    private final Counter endpointBreaks =
+            counter(
+                    "endpoint_breaks",
+                    "Broken connections of calls to endpoints that were traced, by cause.",
+                    "service",
+                    "cause");
     private final Counter permitDecisions =
             counter(
                     "permit_decisions",
@@ -168,6 +174,11 @@
         rejectedCallers.labelValues(reason).inc();
     }
 
+    /** Counts a trace of broken connections to an endpoint, by their cause. */
+    public void recordEndpointBreak(String service, String cause) {
+        endpointBreaks.labelValues(service, cause).inc();
+    }
+
     /** Counts an attempt of a call at an endpoint of the given service. */
     public void recordAttempt(String service, String outcome) {
         attempts.labelValues(service, outcome).inc();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -14,6 +14,7 @@
 import org.tamarackfold.caller.http.EndpointPaths;
 import org.tamarackfold.caller.http.ForwardHandler;
 import org.tamarackfold.caller.http.ResponseMemory;
+import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.EndpointRegistry;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.endpoint.ReachabilityMonitor;
@@ -142,7 +143,7 @@
                 releases,
                 releaseComponents.guard(),
                 endpoints,
-                new EndpointPaths(reachability, newForwardingHosts()),
+                new EndpointPaths(reachability, newBreakTracer(), newForwardingHosts()),
                 components.client(),
                 new HistoryClient(
                         components.layouts(), newStorageRequestSender(), components.scheduler()),
@@ -191,6 +192,15 @@
                 components.random());
     }
 
+    private BreakTracer newBreakTracer() {
+        return new BreakTracer(
+                endpoints,
+                new PooledEndpointConnections(components.client()),
+                components.eventLoop()::stoodStillSince,
+                components.scheduler(),
+                components.metrics());
+    }
+
     private ForwardingHosts newForwardingHosts() {
         return new ForwardingHosts(
                 components.settings().host(),
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -46,6 +47,7 @@
     private final KeyValueService keyValue;
     private final PeerChannel channel;
     private final Scheduler scheduler;
+    private final EventLoopMonitor eventLoop;
     private final SharedStateCodec codec = new ThriftSharedStateCodec();
     private final LayoutHolder layouts = new LayoutHolder();
     private final HostTable hostTable = new HostTable();
@@ -59,7 +61,8 @@
         this.scheduler = new WorkerScheduler(runtime);
         this.keyValue = adapter.keyValueService(client, settings.keyValue(), metrics);
         this.channel = new LimitedPeerChannel(new HttpPeerChannel(client, metrics), scheduler);
-        new EventLoopMonitor(scheduler, metrics).start();
+        this.eventLoop = new EventLoopMonitor(scheduler, InstantSource.system(), metrics);
+        eventLoop.start();
         this.random = new Random(System.nanoTime() ^ settings.host().hashCode());
     }
 
@@ -95,6 +98,10 @@
         return scheduler;
     }
 
+    EventLoopMonitor eventLoop() {
+        return eventLoop;
+    }
+
     SharedStateCodec codec() {
         return codec;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/ConnectionAttempt.java
@@ -5,6 +5,7 @@
 import io.undertow.client.UndertowClient;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +26,7 @@
     private final IoRuntime runtime;
     private final XnioIoThread thread;
     private final ResponseInputOpener opener;
-    private final Consumer<Either<String, ServerConnection>> result;
+    private final Consumer<Either<ConnectFailure, ServerConnection>> result;
     private XnioIoThread.Key timer;
     private boolean finished;
 
@@ -38,7 +39,7 @@
     ConnectionAttempt(
             IoRuntime runtime,
             XnioIoThread thread,
-            Consumer<Either<String, ServerConnection>> result) {
+            Consumer<Either<ConnectFailure, ServerConnection>> result) {
         this.runtime = runtime;
         this.thread = thread;
         this.opener = new ResponseInputOpener(thread);
@@ -57,7 +58,7 @@
                             OptionMap.EMPTY);
         } catch (RuntimeException e) {
             // Reported as a failure, so that the sender does not wait for its own timeout.
-            finish(Either.left("connect failed: " + e));
+            finish(Either.left(new ConnectFailure.Failed(e.toString())));
         }
     }
 
@@ -89,7 +90,7 @@
 
     private void onTimeout() {
         opener.cancel();
-        finish(Either.left("connect timed out"));
+        finish(Either.left(new ConnectFailure.TimedOut()));
     }
 
     /** Ends the attempt; a connection that is opened nevertheless is closed. */
@@ -101,7 +102,7 @@
         }
     }
 
-    private void finish(Either<String, ServerConnection> outcome) {
+    private void finish(Either<ConnectFailure, ServerConnection> outcome) {
         if (finished) {
             return;
         }
@@ -110,6 +111,13 @@
         result.accept(outcome);
     }
 
+    private static ConnectFailure failure(IOException e) {
+        String message = String.valueOf(e.getMessage());
+        return e instanceof ConnectException
+                ? new ConnectFailure.Refused(message)
+                : new ConnectFailure.Failed(message);
+    }
+
     private final class ConnectCallback implements ClientCallback<ClientConnection> {
         @Override
         public void completed(ClientConnection opened) {
@@ -122,7 +130,7 @@
 
         @Override
         public void failed(IOException e) {
-            finish(Either.left("connect failed: " + e.getMessage()));
+            finish(Either.left(failure(e)));
         }
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/HttpExchange.java
@@ -91,9 +91,10 @@
         connecting.start(request.address(), request.connectTimeout());
     }
 
-    private void onConnectionResult(Either<String, ServerConnection> result) {
+    private void onConnectionResult(Either<ConnectFailure, ServerConnection> result) {
         connecting = null;
-        result.peek(this::send).peekLeft(reason -> fail(new TransportFailure.NotSent(reason)));
+        result.peek(this::send)
+                .peekLeft(failure -> fail(new TransportFailure.NotSent(failure.toString())));
     }
 
     private void send(ServerConnection openConnection) {
@@ -140,7 +141,8 @@
     }
 
     private TransportFailure exchangeFailure(IOException e) {
-        String reason = String.valueOf(e.getMessage());
+        // Some exceptions have no message but a name that tells what happened.
+        String reason = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
         if (e instanceof MalformedResponseException) {
             return new TransportFailure.Malformed(reason);
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/transport/PooledHttpClient.java
@@ -1,5 +1,6 @@
 package org.tamarackfold.transport;
 
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -52,9 +53,10 @@
      * Opens a connection and closes it without sending a request, to find out whether the server
      * can be reached. May be called from any thread.
      *
-     * @param result receives whether the connection was opened, once, on an I/O thread
+     * @param result receives why no connection was opened, none if one was, once, on an I/O thread
      */
-    public void testConnection(Address address, Duration timeout, Consumer<Boolean> result) {
+    public void testConnection(
+            Address address, Duration timeout, Consumer<Option<ConnectFailure>> result) {
         XnioIoThread thread = runtime.ioThread();
         ConnectionAttempt attempt =
                 new ConnectionAttempt(
@@ -62,7 +64,7 @@
                         thread,
                         opened -> {
                             opened.peek(ServerConnection::close);
-                            result.accept(opened.isRight());
+                            result.accept(opened.swap().toOption());
                         });
         thread.execute(() -> attempt.start(address, timeout));
     }
