Reproduce requests that crash endpoints in the fault soak

The selection crashing_requests sends a plain call, one that may run once and a turn, each of which ends the endpoint that runs it; the endpoint is back under another id after 2 s.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
@@ -11,9 +11,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import org.tamarackfold.caller.http.CallHeaderNames;
 import org.tamarackfold.daemon.soak.BodyDigest;
+import org.tamarackfold.daemon.soak.CrashChecks;
 import org.tamarackfold.daemon.soak.CustomerChecks;
 import org.tamarackfold.daemon.soak.Ledger;
 import org.tamarackfold.id.Address;
@@ -26,6 +29,12 @@
     /** Number of events of the stream to send; absent for a plain answer. */
     static final HttpString EVENTS = new HttpString("Soak-Events");
 
+    /** Begin of the bodies of requests that crash an endpoint which runs them. */
+    static final String CRASHING = "crash ";
+
+    /** Time from the start of a run to the crash, in milliseconds. */
+    private static final long CRASH_DELAY_MILLIS = 100;
+
     /** Pause before the answer and between events, in milliseconds. */
     static final HttpString PAUSE = new HttpString("Soak-Pause-Ms");
 
@@ -44,25 +53,36 @@
     private final EndpointProfile profile;
     private final Ledger ledger;
     private final CustomerChecks customers;
+    private final CrashChecks crashes;
     private final AtomicInteger running = new AtomicInteger();
+    private final AtomicBoolean crashed = new AtomicBoolean();
+    private final BiConsumer<String, StandInEndpoint> onCrash;
     private final Undertow server;
     private final LoopbackProxy proxy;
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private volatile long drainingSinceNanos;
     private volatile boolean leaving;
 
-    /** Starts an endpoint at an address, with a proxy in front of it. */
+    /**
+     * Starts an endpoint at an address, with a proxy in front of it.
+     *
+     * @param onCrash ends the endpoint, which a request has crashed; called with its body
+     */
     public StandInEndpoint(
             EndpointId id,
             EndpointProfile profile,
             Address address,
             Ledger ledger,
-            CustomerChecks customers)
+            CustomerChecks customers,
+            CrashChecks crashes,
+            BiConsumer<String, StandInEndpoint> onCrash)
             throws IOException {
         this.id = id;
         this.profile = profile;
         this.ledger = ledger;
         this.customers = customers;
+        this.crashes = crashes;
+        this.onCrash = onCrash;
         server =
                 Undertow.builder()
                         .addHttpListener(address.port(), address.ip())
@@ -148,6 +168,10 @@
 
     private void run(HttpServerExchange exchange) throws IOException {
         String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        if (body.startsWith(CRASHING)) {
+            crash(body);
+            return;
+        }
         CallId call = new CallId(exchange.getRequestHeaders().getFirst(NAMES.callId()));
         String signature = id + "-" + NEXT_RUN.incrementAndGet();
         String answer = call + " " + signature + " " + padding(exchange, call);
@@ -183,6 +207,21 @@
         }
     }
 
+    /** Ends this endpoint once; other calls that run here end with it. */
+    private void crash(String request) {
+        crashes.runBegins(request, id, System.nanoTime());
+        try {
+            Thread.sleep(CRASH_DELAY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        if (crashed.compareAndSet(false, true)) {
+            crashes.crashed(request, id, System.nanoTime());
+            onCrash.accept(request, this);
+        }
+    }
+
     /** Returns how long the next step of a run takes, in milliseconds. */
     private long durationMillis(HttpServerExchange exchange) {
         long phaseNanos = id.hashCode() * 1_000_000L;
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/FaultPlan.java
@@ -77,6 +77,9 @@
         if (faults == SoakOptions.FaultSelection.SPOILED_HEADS) {
             return random.nextInt(4) > 0 ? spoiledHeads() : nextPlanned();
         }
+        if (faults == SoakOptions.FaultSelection.CRASHING_REQUESTS) {
+            return nextPlanned();
+        }
         if (faults == SoakOptions.FaultSelection.KEYS) {
             return random.nextBoolean() ? withdrawUnseen() : nextPlanned();
         }
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/Fleet.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.Seq;
 import io.vavr.collection.Vector;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -15,8 +16,10 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.daemon.soak.CallKind;
+import org.tamarackfold.daemon.soak.CrashChecks;
 import org.tamarackfold.daemon.soak.Customer;
 import org.tamarackfold.daemon.soak.CustomerChecks;
+import org.tamarackfold.daemon.soak.FaultTimeline;
 import org.tamarackfold.daemon.soak.KeyTable;
 import org.tamarackfold.daemon.soak.Ledger;
 import org.tamarackfold.daemon.soak.Program;
@@ -53,6 +56,9 @@
     private static final Duration ROUTE_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration RETENTION = Duration.ofMinutes(30);
 
+    /** Time after which an endpoint that has crashed is back, in milliseconds. */
+    private static final long CRASH_MILLIS = 2_000;
+
     /** Below the ports that the kernel gives to outgoing connections. */
     private static final int FIRST_PORT = 12_000;
 
@@ -83,7 +89,9 @@
 
     private final SoakOptions options;
     private final Ledger ledger;
+    private final FaultTimeline timeline;
     private final CustomerChecks checks;
+    private final CrashChecks crashes;
     private final KeyTable keys;
     private final MemoryKeyValueService keyValue =
             new MemoryKeyValueService(new ExecutorScheduler());
@@ -109,9 +117,17 @@
     final List<Slot> slots = new ArrayList<>();
     final List<EntryHost> entryHosts = new ArrayList<>();
 
-    Fleet(SoakOptions options, Ledger ledger, CustomerChecks checks, KeyTable keys)
+    Fleet(
+            SoakOptions options,
+            FaultTimeline timeline,
+            Ledger ledger,
+            CustomerChecks checks,
+            CrashChecks crashes,
+            KeyTable keys)
             throws IOException {
         this.options = options;
+        this.timeline = timeline;
+        this.crashes = crashes;
         this.ledger = ledger;
         this.checks = checks;
         this.keys = keys;
@@ -150,10 +166,49 @@
                         slotCount(slot.service),
                         pauses ? 1 / slot.speed : 1,
                         pauses);
-        slot.endpoint = new StandInEndpoint(id, profile, freeAddress(), ledger, checks);
+        slot.endpoint =
+                new StandInEndpoint(
+                        id,
+                        profile,
+                        freeAddress(),
+                        ledger,
+                        checks,
+                        crashes,
+                        (request, crashed) -> crash(slot, crashed));
         register(slot, false);
     }
 
+    /** Ends an endpoint that a request has crashed, and starts another one in its place. */
+    private void crash(Slot slot, StandInEndpoint crashed) {
+        Thread.ofVirtual().start(() -> replaceCrashed(slot, crashed));
+    }
+
+    private void replaceCrashed(Slot slot, StandInEndpoint crashed) {
+        FaultTimeline.Entry fault =
+                timeline.begin("crash of " + crashed.id(), FaultTimeline.Kind.UNPLANNED);
+        try {
+            for (HostLinks view : links.values()) {
+                view.close(crashed.proxy().address());
+            }
+            crashed.close();
+            boolean isReplaced = !slot.reservation.tryAcquire();
+            Thread.sleep(CRASH_MILLIS);
+            if (!isReplaced && slot.endpoint == crashed) {
+                removeEndpoint(slot);
+                startEndpoint(slot, crashed.profile().softwareVersion());
+            }
+            if (!isReplaced) {
+                slot.reservation.release();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            fault.end();
+        }
+    }
+
     /** Floods go to one service, whose endpoints are then short. */
     private int slotCount(ServiceName service) {
         boolean isShort = options.loads().contains(SoakLoad.FLOODS) && service.equals(LEDGER);
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostLinks.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/HostLinks.java
@@ -52,6 +52,14 @@
         return link.address();
     }
 
+    /** Closes the link to an endpoint that has ended, so that connections to it are refused. */
+    synchronized void close(Address endpoint) throws IOException {
+        LoopbackProxy link = links.get(endpoint);
+        if (link != null) {
+            link.close();
+        }
+    }
+
     private Item view(Item item) {
         if (!item.key().startsWith(PlatformDocuments.ADAPTER.endpointPrefix())) {
             return item;
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakOptions.java
@@ -39,6 +39,8 @@
         SPOILED_RESPONSES,
         /** Endpoints that send malformed heads, beside planned work. */
         SPOILED_HEADS,
+        /** Requests that crash the endpoints that run them, beside planned work. */
+        CRASHING_REQUESTS,
         /** Keys withdrawn while the key-value service rejects entry hosts, beside planned work. */
         KEYS;
 
--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/runtime/SoakSession.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.tamarackfold.daemon.soak.CallKind;
 import org.tamarackfold.daemon.soak.ContinuedTurns;
+import org.tamarackfold.daemon.soak.CrashChecks;
 import org.tamarackfold.daemon.soak.Customer;
 import org.tamarackfold.daemon.soak.CustomerChecks;
 import org.tamarackfold.daemon.soak.Demand;
@@ -22,6 +23,7 @@
 import org.tamarackfold.daemon.soak.Rule;
 import org.tamarackfold.daemon.soak.ServedShares;
 import org.tamarackfold.daemon.soak.http.Caller;
+import org.tamarackfold.daemon.soak.http.CrashingCaller;
 import org.tamarackfold.id.CustomerName;
 import org.tamarackfold.transport.IoRuntime;
 
@@ -58,10 +60,12 @@
     private final Ledger ledger;
     private final KeyTable keys;
     private final CustomerChecks checks;
+    private final CrashChecks crashes;
     private final ServedShares shares;
     private final ContinuedTurns turns;
     private final IoRuntime callerRuntime;
     private final List<Caller> callers = new ArrayList<>();
+    private final List<CrashingCaller> crashingCallers = new ArrayList<>();
     private final List<Thread> callerThreads = new ArrayList<>();
 
     private SoakSession(SoakOptions options, IoRuntime callerRuntime, PrintStream out) {
@@ -73,6 +77,7 @@
         keys = new KeyTable(CUSTOMERS.appendAll(added));
         checks = new CustomerChecks(ledger, timeline, keys);
         turns = new ContinuedTurns(ledger, timeline);
+        crashes = new CrashChecks(ledger);
         shares = new ServedShares(ledger, timeline, options.loads().contains(SoakLoad.FLOODS));
     }
 
@@ -94,12 +99,13 @@
     }
 
     private void run() throws IOException, InterruptedException, ExecutionException {
-        try (Fleet fleet = new Fleet(options, ledger, checks, keys);
+        try (Fleet fleet = new Fleet(options, timeline, ledger, checks, crashes, keys);
                 FaultInjector injector = new FaultInjector(fleet, timeline, ledger, out)) {
             FaultTimeline.Entry start = timeline.begin("start", FaultTimeline.Kind.UNPLANNED);
             startCallers(fleet);
             awaitService();
             startAddedCallers(fleet);
+            startCrashingCallers(fleet);
             start.end();
             shares.begin();
             long startNanos = System.nanoTime();
@@ -108,10 +114,12 @@
             turns.check();
             checkKinds();
             callers.forEach(Caller::stop);
+            crashingCallers.forEach(CrashingCaller::stop);
             for (Thread thread : callerThreads) {
                 thread.join();
             }
         }
+        out.println("crashed seed=%d %s".formatted(options.seed(), crashes.counts()));
         out.println("served seed=%d %s".formatted(options.seed(), shares.summary()));
         out.println(
                 "seed=%d violations=%d attempts=%s logs=%s"
@@ -142,6 +150,27 @@
         }
     }
 
+    /** Starts a caller for each kind of call, whose request crashes endpoints. */
+    private void startCrashingCallers(Fleet fleet) {
+        if (options.faults() != SoakOptions.FaultSelection.CRASHING_REQUESTS) {
+            return;
+        }
+        Vector<CallKind> kinds =
+                Vector.of(new CallKind.Plain(), new CallKind.Once(), new CallKind.Turn(1));
+        for (CallKind kind : kinds) {
+            CrashingCaller caller =
+                    new CrashingCaller(
+                            callerRuntime,
+                            kind,
+                            CUSTOMERS.head(),
+                            keys,
+                            fleet.entryHosts,
+                            options.seed() * 1_000 + crashingCallers.size());
+            crashingCallers.add(caller);
+            callerThreads.add(Thread.ofVirtual().start(caller));
+        }
+    }
+
     private void startCaller(Fleet fleet, int number, Customer customer) {
         Caller caller =
                 new Caller(
--- a/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/daemon/soak/SoakTest.java
@@ -98,4 +98,13 @@
             checkSeed(2, Duration.ofSeconds(12), FaultSelection.SPOILED_HEADS);
         }
     }
+
+    /** Requests that crash the endpoints which run them. */
+    public static final class CrashingRequests {
+        /** Guards against requests that go on to reach endpoints after they have crashed three. */
+        @Test
+        public void promisesHold() throws Exception {
+            checkSeed(1, Duration.ofSeconds(12), FaultSelection.CRASHING_REQUESTS);
+        }
+    }
 }
