Quarantine requests that crash endpoints

Callers saw endpoint after endpoint end under one request, and 502 or 503 for the calls that were there. Cause: nothing knew a request that comes again, so that each copy was sent like a new one, to the next endpoint within milliseconds where it may run twice.

A request is known by a digest of its customer, method, host name, path and body. An endpoint that ends is evidence against all requests that were under way there, once for each start of it, whoever has sent or forwarded them. A suspected request is tried by one copy at a time over all hosts; a whole response clears it. It is quarantined once a coincidence is unlikely enough, given how often endpoints of the service end without it, and no other request was at all of the same endpoints. Hosts tell each other by gossip, without the key-value service.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/soak/http/StandInEndpoint.java
@@ -212,13 +212,14 @@
         crashes.runBegins(request, id, System.nanoTime());
         try {
             Thread.sleep(CRASH_DELAY_MILLIS);
+            if (crashed.compareAndSet(false, true)) {
+                crashes.crashed(request, id, System.nanoTime());
+                onCrash.accept(request, this);
+            }
+            // An exchange that ends here would be answered before the connections are reset.
+            Thread.sleep(Long.MAX_VALUE);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return;
-        }
-        if (crashed.compareAndSet(false, true)) {
-            crashes.crashed(request, id, System.nanoTime());
-            onCrash.accept(request, this);
         }
     }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/EntryFixture.java
@@ -183,6 +183,7 @@
                         client,
                         history,
                         PermitRequesters.ofSingleHost(),
+                        Quarantines.ofSingleHost(endpointTable),
                         responseMemory,
                         metrics,
                         new Random(1));
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/ForwardFixture.java
@@ -137,6 +137,7 @@
                 client,
                 new EntryFixture.MemoryTurnHistory(),
                 PermitRequesters.ofSingleHost(),
+                Quarantines.ofSingleHost(endpointTable),
                 responseMemory,
                 new HostMetrics(),
                 new Random(1));
@@ -197,7 +198,13 @@
                         new OutcomeListener(outcome));
         attempt.start(
                 new EndpointRequest(
-                        new CallId("c1"), "POST", "/x", new HeaderMap(), new byte[0], false),
+                        new CallId("c1"),
+                        "POST",
+                        "/x",
+                        new HeaderMap(),
+                        new byte[0],
+                        false,
+                        new CrashWatch.Forwarded(Option.none())),
                 Duration.ofSeconds(2));
     }
 
--- a/tamarackfold.thrift/src/main/thrift/entry.thrift
+++ b/tamarackfold.thrift/src/main/thrift/entry.thrift
@@ -124,3 +124,47 @@
   // Milliseconds since the service was last out of reach of the sender; absent when it never was.
   4: optional i64 outageAgeMillis
 }
+
+// An endpoint that ended while a request was under way there.
+struct EndedRunStruct {
+  1: required string endpoint
+  2: required i64 startedAtMillis
+  // How long the request had been there, and how long ago the endpoint ended.
+  3: required i64 exposureMillis
+  4: required i64 ageMillis
+}
+
+// What a host knows of a request at one software version.
+struct SuspicionStruct {
+  1: required binary request
+  2: required string serviceName
+  3: required string version
+  4: required list<EndedRunStruct> runs
+  // Milliseconds since the request was found to crash endpoints; absent when it was not.
+  5: optional i64 quarantinedAgeMillis
+  // Milliseconds since a whole response to it was seen; absent when none was.
+  6: optional i64 clearedAgeMillis
+}
+
+// What the sender has learned, and its reply with what the receiver knows.
+struct SuspicionExchangeStruct {
+  1: required i64 digest
+  2: required list<SuspicionStruct> suspicions
+}
+
+// Asks whether a copy of a suspected request may be sent, or tells that one has ended.
+struct TrialRequestStruct {
+  1: required string host
+  2: required binary request
+  3: required string serviceName
+  // Milliseconds after which the trial counts as ended; absent when it has ended.
+  4: optional i64 leaseMillis
+  5: required list<SuspicionStruct> suspicions
+}
+
+// At most one of the delays is present; without one, the copy may be sent.
+struct TrialReplyStruct {
+  1: optional i64 askAgainMillis
+  2: optional i64 deniedMillis
+  3: required list<SuspicionStruct> suspicions
+}
--- a/tamarackfold.thrift/src/main/thrift/peer.thrift
+++ b/tamarackfold.thrift/src/main/thrift/peer.thrift
@@ -200,6 +200,8 @@
   6: required binary body
   7: required i64 remainingMillis
   8: required bool retryable
+  // Identifies the request as its caller sent it; absent in messages of earlier versions.
+  9: optional binary fingerprint
 }
 
 struct ResponseHeadStruct {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/LocalResponse.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/LocalResponse.java
@@ -1,6 +1,7 @@
 package org.tamarackfold.caller;
 
 import java.time.Duration;
+import org.tamarackfold.id.RequestFingerprint;
 
 /** A response that the entry host generates itself, because it relays none from an endpoint. */
 public sealed interface LocalResponse {
@@ -20,6 +21,15 @@
      */
     record OverLimit(Duration retryAfter, String reason) implements LocalResponse {}
 
+    /**
+     * The request has crashed endpoints, and the call is sent to none; it has not run and will not
+     * run.
+     *
+     * @param retryAfter the time until one copy of the request is tried again
+     * @param request what identifies the request
+     */
+    record Quarantined(Duration retryAfter, RequestFingerprint request) implements LocalResponse {}
+
     /**
      * The call may have run; its outcome is unknown.
      *
@@ -61,6 +71,7 @@
         return switch (this) {
             case Refused(Duration _, String _) -> "refused";
             case OverLimit(Duration _, String _) -> "over_limit";
+            case Quarantined(Duration _, RequestFingerprint _) -> "quarantined";
             case Unknown(String _) -> "unknown";
             case TimedOut() -> "timed_out";
             case NoRoute() -> "no_route";
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ActiveCall.java
@@ -1,7 +1,6 @@
 package org.tamarackfold.caller.http;
 
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
 import io.undertow.util.HeaderMap;
 import io.vavr.control.Either;
 import io.vavr.control.Option;
@@ -18,7 +17,6 @@
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.Selection;
 import org.tamarackfold.endpoint.SelectionRequest;
-import org.tamarackfold.endpoint.share.ShareDecision;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.CustomerName;
 import org.tamarackfold.id.SoftwareVersion;
@@ -52,6 +50,7 @@
     private final CallPermit permit;
     private final CallPlacement placement;
     private final ResponseRelays relays;
+    private final CallQuarantine quarantine;
 
     private byte[] body;
     private DisconnectDetector disconnectDetector;
@@ -107,6 +106,9 @@
                         release,
                         route,
                         this::onPermitDecision);
+        this.quarantine =
+                new CallQuarantine(
+                        dependencies, exchange, call, deadline, callLog, this::endRefused);
         activeCalls.add(this);
     }
 
@@ -132,14 +134,8 @@
         if (finished) {
             return;
         }
-        boolean tooLarge =
-                error instanceof RequestTooBigException
-                        || exchange.getRequestContentLength() > release.limits().bodyBytes();
         exchange.setPersistent(false);
-        respond(
-                tooLarge
-                        ? new LocalResponse.TooLarge()
-                        : new LocalResponse.Malformed("body: " + error.getMessage()));
+        respond(BodyFailure.response(exchange, release.limits(), error));
     }
 
     void start(byte[] requestBody) {
@@ -157,14 +153,19 @@
         }
         disconnectDetector = DisconnectDetector.start(exchange, this::onCallerDisconnected);
         selectionRequest = placement.initialSelection();
-        Option<ShareDecision.Refused> overShare =
-                placement.shareRefusal(selectionRequest.service());
+        quarantine.admit(body, selectionRequest.service(), this::prepare);
+    }
+
+    /** Prepares a turn or stream before it is sent; other calls are sent at once. */
+    private void prepare() {
+        if (finished) {
+            return;
+        }
+        selectionRequest = quarantine.restrict(selectionRequest);
+        Option<LocalResponse> overShare =
+                placement.shareRefusal(selectionRequest.service(), callLog, retryDelays);
         if (overShare.isDefined()) {
-            callLog.overShare(overShare.get());
-            Duration drainTime = overShare.get().drainTime();
-            respond(
-                    new LocalResponse.Refused(
-                            retryDelays.whenOverShare(drainTime), "customer over its share"));
+            respond(overShare.get());
             return;
         }
         if (!turnState.usesTokenBudget() && !route.callSemantics().isStream()) {
@@ -260,14 +261,18 @@
 
     /** Ends a call whose customer is at its limit, at once. */
     private void endOverLimit(PermitDecision.Refused refused) {
-        String reason = "the customer is at its limit";
         callLog.limitReached(refused);
+        endRefused(
+                new LocalResponse.OverLimit(
+                        retryDelays.whenOverLimit(refused.retryAfter()),
+                        "the customer is at its limit"));
+    }
+
+    /** Ends a call that is not sent again: refuses it only if no endpoint may have run it. */
+    private void endRefused(LocalResponse whenNotRun) {
         switch (retryPolicy.whenNoFurtherAttempt()) {
-            case RetryDecision.Refuse() ->
-                    respond(
-                            new LocalResponse.OverLimit(
-                                    retryDelays.whenOverLimit(refused.retryAfter()), reason));
-            case RetryDecision decision -> apply(decision, reason);
+            case RetryDecision.Refuse() -> respond(whenNotRun);
+            case RetryDecision decision -> apply(decision, String.valueOf(whenNotRun));
         }
     }
 
@@ -294,19 +299,16 @@
      * would not take it before the caller can come back.
      */
     private void endRateLimited(Duration expectedWait) {
-        String reason = "all endpoints are at their rate limit";
         dependencies.metrics().recordRateLimited(selectionRequest.service().value());
-        switch (retryPolicy.whenNoFurtherAttempt()) {
-            case RetryDecision.Refuse() ->
-                    respond(
-                            new LocalResponse.Refused(
-                                    retryDelays.whenRateLimited(expectedWait), reason));
-            case RetryDecision decision -> apply(decision, reason);
-        }
+        endRefused(
+                new LocalResponse.Refused(
+                        retryDelays.whenRateLimited(expectedWait),
+                        "all endpoints are at their rate limit"));
     }
 
     private void sendTo(Selection.Selected selected) {
-        EndpointRequest request = placement.request(exchange, body, selected.endpoint().service());
+        EndpointRequest request =
+                placement.request(exchange, body, selected.endpoint().service(), quarantine);
         permit.use();
         boolean started =
                 attempt.start(selected, request, deadline.remainingTime(), exchange.getIoThread());
@@ -348,7 +350,7 @@
 
     private void apply(RetryDecision decision, String reason) {
         switch (decision) {
-            case RetryDecision.Retry() -> dispatch();
+            case RetryDecision.Retry() -> quarantine.beforeRetry(this::dispatch);
             case RetryDecision.Refuse() -> respond(refusal(reason));
             case RetryDecision.ReportUnknown() -> respond(unknown(reason));
             case RetryDecision.RelayResponse() ->
@@ -409,6 +411,7 @@
             handleIncompleteResponse(endpoint, "event stream ended inside an event");
             return;
         }
+        quarantine.onAnswered(endpoint);
         RetryDecision decision = retryPolicy.after(new AttemptOutcome.Answered(relay.status()));
         if (decision instanceof RetryDecision.Retry && !relay.started()) {
             dropRelay();
@@ -425,7 +428,7 @@
     }
 
     private void finishTurn(EventStreamRelay eventStream, EndpointRecord endpoint) {
-        turnState.recordDeliveredTokens(deliveredTokens(endpoint));
+        turnState.recordDeliveredTokens(relays.deliveredTokens(relay, endpoint));
         Duration timeToStore = deadline.timeToStore(System.nanoTime());
         if (timeToStore.isZero() && turnState.keepsHistory()) {
             onTurnStored(false, eventStream, endpoint);
@@ -465,7 +468,7 @@
     private void handleIncompleteResponse(EndpointRecord endpoint, String reason) {
         callLog.responseBroken(endpoint.id(), reason, relay.started());
         if (relay.started()) {
-            turnState.recordDeliveredTokens(deliveredTokens(endpoint));
+            turnState.recordDeliveredTokens(relays.deliveredTokens(relay, endpoint));
             relay.abort();
             finish("broken_off", reason, endpoint);
             return;
@@ -481,10 +484,6 @@
         relay = null;
     }
 
-    private long deliveredTokens(EndpointRecord endpoint) {
-        return relays.deliveredTokens(relay, endpoint);
-    }
-
     /**
      * Ends the call after what has arrived of its response was read: a thread that was delayed runs
      * due timers before it reads from its connections.
@@ -560,7 +559,7 @@
         }
         EndpointRecord endpoint = attempt.cancel();
         if (isResponseStarted()) {
-            turnState.recordDeliveredTokens(deliveredTokens(endpoint));
+            turnState.recordDeliveredTokens(relays.deliveredTokens(relay, endpoint));
         }
         return endpoint;
     }
@@ -590,6 +589,7 @@
         }
         turnState.settle();
         permit.end();
+        quarantine.end();
         callLog.ended(
                 outcome,
                 reason,
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallDependencies.java
@@ -2,6 +2,7 @@
 
 import java.util.random.RandomGenerator;
 import org.tamarackfold.caller.limit.PermitRequester;
+import org.tamarackfold.caller.quarantine.Quarantine;
 import org.tamarackfold.endpoint.EndpointTable;
 import org.tamarackfold.metrics.HostMetrics;
 import org.tamarackfold.operator.ReleaseHolder;
@@ -20,6 +21,7 @@
  * @param client the HTTP client for requests to endpoints
  * @param history the token budgets and turn histories of programs
  * @param permits the permits for calls of customers with limits
+ * @param quarantine keeps requests that crash endpoints away from them
  * @param responseMemory bounds the bytes of responses that are kept
  * @param metrics the metrics of this process
  * @param random the source of the jitter of retry delays and of the weighted selection of services
@@ -33,6 +35,7 @@
         PooledHttpClient client,
         TurnHistory history,
         PermitRequester permits,
+        Quarantine quarantine,
         ResponseMemory responseMemory,
         HostMetrics metrics,
         RandomGenerator random) {}
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallLog.java
@@ -15,6 +15,7 @@
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
 import org.tamarackfold.id.ReleaseVersion;
+import org.tamarackfold.id.RequestFingerprint;
 import org.tamarackfold.id.RouteName;
 import org.tamarackfold.log.StructuredLog;
 import org.tamarackfold.metrics.HostMetrics;
@@ -127,6 +128,16 @@
         overShare = Option.some(refused);
     }
 
+    /** Records a decision on a call whose request is suspected of crashing endpoints. */
+    void suspected(String decision, RequestFingerprint request) {
+        metrics.recordSuspectedCall(route.value(), decision);
+        event("suspected_request")
+                .with("decision", decision)
+                .with("request", request)
+                .with("route", route)
+                .info();
+    }
+
     /** Records that an attempt ended without a response to relay. */
     void attemptFailed(EndpointId endpoint, AttemptOutcome outcome, String reason) {
         event("attempt_failed")
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallPlacement.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/CallPlacement.java
@@ -4,8 +4,10 @@
 import io.vavr.control.Option;
 import java.time.Duration;
 import org.tamarackfold.caller.CallDescription;
+import org.tamarackfold.caller.LocalResponse;
 import org.tamarackfold.caller.ProgramOrder;
 import org.tamarackfold.caller.ProgramTurn;
+import org.tamarackfold.caller.RetryDelays;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.SelectionRequest;
 import org.tamarackfold.endpoint.cost.CallProfile;
@@ -50,8 +52,15 @@
     }
 
     /** Returns the refusal of a call whose customer is over its share of the service. */
-    Option<ShareDecision.Refused> shareRefusal(ServiceName service) {
-        return share.refusal(service, System.nanoTime());
+    Option<LocalResponse> shareRefusal(
+            ServiceName service, CallLog callLog, RetryDelays retryDelays) {
+        Option<ShareDecision.Refused> refused = share.refusal(service, System.nanoTime());
+        refused.forEach(callLog::overShare);
+        return refused.map(
+                decision ->
+                        new LocalResponse.Refused(
+                                retryDelays.whenOverShare(decision.drainTime()),
+                                "customer over its share"));
     }
 
     /** Creates the observer of the attempts of the call. */
@@ -78,14 +87,16 @@
     }
 
     /** Returns the request for an attempt; it has an order only where placement is learned. */
-    EndpointRequest request(HttpServerExchange exchange, byte[] body, ServiceName service) {
+    EndpointRequest request(
+            HttpServerExchange exchange, byte[] body, ServiceName service, CrashWatch crashWatch) {
         EndpointRequest request =
                 EndpointRequest.of(
                         exchange,
                         call,
                         dependencies.headerNames(),
                         body,
-                        route.callSemantics().isRetryable());
+                        route.callSemantics().isRetryable(),
+                        crashWatch);
         return switch (dependencies.endpoints().policy()) {
             case PlacementPolicy.LeastInFlight() -> request;
             case LearnedPlacement _ -> {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/DirectAttempt.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.caller.AttemptOutcome;
+import org.tamarackfold.caller.quarantine.Quarantine;
+import org.tamarackfold.endpoint.BreakCause;
 import org.tamarackfold.endpoint.BreakTracer;
 import org.tamarackfold.endpoint.EndpointRecord;
 import org.tamarackfold.endpoint.EndpointTable;
@@ -33,6 +35,7 @@
     private final PooledHttpClient client;
     private final ReachabilityMonitor reachability;
     private final BreakTracer breaks;
+    private final Quarantine quarantine;
     private final CallHeaderNames headerNames;
     private final ResponseVerifier verifier;
     private final EndpointTable endpoints;
@@ -42,6 +45,7 @@
     private final Listener listener;
     private ExchangeHandle handle;
     private long startedAtNanos;
+    private CrashWatch crashWatch;
 
     private boolean headAccepted;
 
@@ -55,6 +59,7 @@
         this.client = dependencies.client();
         this.reachability = dependencies.paths().reachability();
         this.breaks = dependencies.paths().breaks();
+        this.quarantine = dependencies.quarantine();
         this.headerNames = dependencies.headerNames();
         this.verifier = new ResponseVerifier(headerNames);
         this.endpoints = dependencies.endpoints();
@@ -86,6 +91,7 @@
                         .withoutResponseTimeout()
                         .build();
         startedAtNanos = System.nanoTime();
+        crashWatch = request.crashWatch();
         handle = client.send(httpRequest, this);
     }
 
@@ -192,7 +198,18 @@
     private void traceBreak(TransportFailure failure) {
         if (failure instanceof TransportFailure.Broken
                 || failure instanceof TransportFailure.ClosedBeforeResponse) {
-            breaks.trace(endpoint, startedAtNanos);
+            Duration exposure = Duration.ofNanos(System.nanoTime() - startedAtNanos);
+            crashWatch.onBroken(
+                    breaks.trace(endpoint, startedAtNanos)
+                            .thenAccept(cause -> recordBreak(cause, exposure)));
+        }
+    }
+
+    private void recordBreak(BreakCause cause, Duration exposure) {
+        if (cause instanceof BreakCause.Ended(EndpointRecord ended)) {
+            crashWatch
+                    .fingerprint()
+                    .forEach(request -> quarantine.recordEnd(request, ended, exposure));
         }
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointRequest.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/EndpointRequest.java
@@ -11,6 +11,7 @@
  * @param headers the end-to-end headers and the customer, without the headers that entry hosts set
  *     for an attempt
  * @param retryable whether the call may be retried although an endpoint may have run it
+ * @param crashWatch learns of the breaks that the call meets
  */
 record EndpointRequest(
         CallId call,
@@ -18,14 +19,16 @@
         String pathAndQuery,
         HeaderMap headers,
         byte[] body,
-        boolean retryable) {
+        boolean retryable,
+        CrashWatch crashWatch) {
     /** Returns the request that was received in an exchange, with the given body. */
     static EndpointRequest of(
             HttpServerExchange exchange,
             CallDescription call,
             CallHeaderNames headerNames,
             byte[] body,
-            boolean retryable) {
+            boolean retryable,
+            CrashWatch crashWatch) {
         HeaderMap headers = EndToEndHeaders.forEndpoint(exchange.getRequestHeaders(), headerNames);
         call.customer().forEach(customer -> headers.put(headerNames.customer(), customer.value()));
         String query = exchange.getQueryString();
@@ -35,6 +38,7 @@
                 query.isEmpty() ? call.path() : call.path() + '?' + query,
                 headers,
                 body,
-                retryable);
+                retryable,
+                crashWatch);
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedAttempt.java
@@ -45,6 +45,7 @@
     private final Listener listener;
     private final ForwardReplyFrames frames = new ForwardReplyFrames();
     private ExchangeHandle handle;
+    private CrashWatch crashWatch;
     private boolean accepted;
     private boolean headSeen;
     private boolean ended;
@@ -87,6 +88,7 @@
 
     @Override
     public void start(EndpointRequest request, Duration remainingTime) {
+        crashWatch = request.crashWatch();
         ForwardedCall forwarded =
                 ForwardedCall.builder()
                         .id(call)
@@ -97,6 +99,7 @@
                         .body(request.body())
                         .remainingTime(remainingTime)
                         .retryable(request.retryable())
+                        .fingerprint(crashWatch.fingerprint())
                         .build();
         HttpRequest httpRequest =
                 HttpRequest.builder()
@@ -244,15 +247,21 @@
             listener.onResponseEnd();
             return;
         }
+        AttemptOutcome known = outcome.getOrElse(AttemptOutcome.Unknown::new);
+        if (known instanceof AttemptOutcome.Unknown) {
+            crashWatch.onForwardingLost();
+        }
         listener.onNoResponse(
-                outcome.getOrElse(AttemptOutcome.Unknown::new),
-                outcome.isDefined() ? reason : host.host() + " sent no result");
+                known, outcome.isDefined() ? reason : host.host() + " sent no result");
     }
 
     @Override
     public void onFailure(TransportFailure failure) {
         end();
         String failureReason = "link to " + host.host() + ": " + failure;
+        if (!(failure instanceof TransportFailure.NotSent)) {
+            crashWatch.onForwardingLost();
+        }
         if (headSeen) {
             listener.onResponseFailure(failureReason);
             return;
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedCallExchange.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/ForwardedCallExchange.java
@@ -85,7 +85,8 @@
                         call.pathAndQuery(),
                         ForwardedHeaders.toMap(call.headers()),
                         call.body(),
-                        call.isRetryable()),
+                        call.isRetryable(),
+                        new CrashWatch.Forwarded(call.fingerprint())),
                 call.remainingTime());
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/http/LocalResponseEncoder.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/http/LocalResponseEncoder.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import org.tamarackfold.caller.CallerIdentity;
 import org.tamarackfold.caller.LocalResponse;
+import org.tamarackfold.id.RequestFingerprint;
 import org.tamarackfold.transport.ResponseWriter;
 
 /** Encodes local responses as HTTP responses with a JSON body. */
@@ -35,6 +36,8 @@
         return switch (response) {
             case LocalResponse.Refused(Duration delay, String _) -> Option.some(delay);
             case LocalResponse.OverLimit(Duration delay, String _) -> Option.some(delay);
+            case LocalResponse.Quarantined(Duration delay, RequestFingerprint _) ->
+                    Option.some(delay);
             default -> Option.none();
         };
     }
@@ -43,6 +46,8 @@
         return switch (response) {
             case LocalResponse.Refused(Duration _, String _) -> StatusCodes.SERVICE_UNAVAILABLE;
             case LocalResponse.OverLimit(Duration _, String _) -> StatusCodes.TOO_MANY_REQUESTS;
+            case LocalResponse.Quarantined(Duration _, RequestFingerprint _) ->
+                    StatusCodes.SERVICE_UNAVAILABLE;
             case LocalResponse.Unknown(String _) -> StatusCodes.BAD_GATEWAY;
             case LocalResponse.TimedOut() -> StatusCodes.GATEWAY_TIME_OUT;
             case LocalResponse.NoRoute() -> StatusCodes.NOT_FOUND;
--- a/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/metrics/HostMetrics.java
@@ -49,6 +49,18 @@
                     "Broken connections of calls to endpoints that were traced, by cause.",
                     "service",
                     "cause");
+    private final Counter quarantines =
+            counter(
+                    "quarantines",
+                    "Requests that were found to crash endpoints, by who has found it.",
+                    "service",
+                    "source");
+    private final Counter suspectedCalls =
+            counter(
+                    "suspected_calls",
+                    "Copies of requests under which endpoints have ended, by decision.",
+                    "route",
+                    "decision");
     private final Counter permitDecisions =
             counter(
                     "permit_decisions",
@@ -179,6 +191,16 @@
         endpointBreaks.labelValues(service, cause).inc();
     }
 
+    /** Counts a request that was found to crash endpoints of a service. */
+    public void recordQuarantine(String service, String source) {
+        quarantines.labelValues(service, source).inc();
+    }
+
+    /** Counts a decision on a copy of a suspected request. */
+    public void recordSuspectedCall(String route, String decision) {
+        suspectedCalls.labelValues(route, decision).inc();
+    }
+
     /** Counts an attempt of a call at an endpoint of the given service. */
     public void recordAttempt(String service, String outcome) {
         attempts.labelValues(service, outcome).inc();
@@ -255,6 +277,15 @@
                 .register(registry);
     }
 
+    /** Serves the number of requests that are rejected, read at each scrape. Called once. */
+    public void observeQuarantine(IntSupplier count) {
+        GaugeWithCallback.builder()
+                .name(PREFIX + "quarantined_requests")
+                .help("Requests that are rejected because they crash endpoints.")
+                .callback(callback -> callback.call(count.getAsInt()))
+                .register(registry);
+    }
+
     /** Serves the bytes of responses that this host keeps, read at each scrape. Called once. */
     public void observeResponseMemory(LongSupplier bytes) {
         GaugeWithCallback.builder()
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -62,6 +62,7 @@
     private final CustomerLimits customerLimits;
     private final EntryHost self;
     private final ReachabilityMonitor reachability;
+    private final QuarantineComponents quarantine;
     private final CallHandler callHandler;
     private final ForwardHandler forwardHandler;
     private final Option<ChangeRelay> changeRelay;
@@ -95,6 +96,7 @@
                         components.random(),
                         this::onContactChanged);
         components.metrics().observeUnreachableEndpoints(reachability::unreachableCount);
+        quarantine = new QuarantineComponents(components, endpoints);
         CallDependencies callDependencies = newCallDependencies();
         callHandler = new CallHandler(callDependencies);
         forwardHandler = new ForwardHandler(callDependencies);
@@ -148,6 +150,7 @@
                 new HistoryClient(
                         components.layouts(), newStorageRequestSender(), components.scheduler()),
                 customerLimits.requester(),
+                quarantine.quarantine(),
                 newResponseMemory(),
                 components.metrics(),
                 components.random());
@@ -171,6 +174,7 @@
                 releaseComponents
                         .messageHandlers()
                         .merge(placement.messageHandlers())
+                        .merge(quarantine.messageHandlers())
                         .put(ForwardHandler.PATH, forwardHandler)
                         .put(HttpPermitChannel.PATH, customerLimits.messageHandler());
         return changeRelay.fold(
@@ -276,6 +280,7 @@
         registration.start();
         customerLimits.start();
         reachability.start();
+        quarantine.quarantine().start();
     }
 
     @Override
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/ForwardedCall.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/ForwardedCall.java
@@ -1,10 +1,12 @@
 package org.tamarackfold.peer;
 
 import io.vavr.collection.Seq;
+import io.vavr.control.Option;
 import java.time.Duration;
 import java.util.Objects;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.RequestFingerprint;
 
 /**
  * A call that one entry host asks another to send to an endpoint, because it cannot reach the
@@ -23,6 +25,7 @@
     private final byte[] body;
     private final Duration remainingTime;
     private final boolean retryable;
+    private final Option<RequestFingerprint> fingerprint;
 
     private ForwardedCall(Builder builder) {
         this.id = Objects.requireNonNull(builder.id);
@@ -33,9 +36,10 @@
         this.body = Objects.requireNonNull(builder.body);
         this.remainingTime = Objects.requireNonNull(builder.remainingTime);
         this.retryable = builder.retryable;
+        this.fingerprint = builder.fingerprint;
     }
 
-    /** Returns a builder; all parts but {@link Builder#retryable} are required. */
+    /** Returns a builder; all parts but the last two are required. */
     public static Builder builder() {
         return new Builder();
     }
@@ -80,6 +84,11 @@
         return retryable;
     }
 
+    /** Returns what identifies the request as its caller sent it; none if the sender is older. */
+    public Option<RequestFingerprint> fingerprint() {
+        return fingerprint;
+    }
+
     /** Collects the parts of a forwarded call. */
     public static final class Builder {
         private CallId id;
@@ -90,6 +99,7 @@
         private byte[] body;
         private Duration remainingTime;
         private boolean retryable;
+        private Option<RequestFingerprint> fingerprint = Option.none();
 
         private Builder() {}
 
@@ -141,6 +151,12 @@
             return this;
         }
 
+        /** Sets what identifies the request as its caller sent it; none if unset. */
+        public Builder fingerprint(Option<RequestFingerprint> value) {
+            fingerprint = value;
+            return this;
+        }
+
         /**
          * Creates the call.
          *
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ForwardCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/ForwardCodec.java
@@ -2,12 +2,14 @@
 
 import io.vavr.collection.Seq;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.tamarackfold.id.CallId;
 import org.tamarackfold.id.EndpointId;
+import org.tamarackfold.id.RequestFingerprint;
 import org.tamarackfold.peer.ForwardReply;
 import org.tamarackfold.peer.ForwardedCall;
 import org.tamarackfold.peer.thrift.generated.EmptyStruct;
@@ -22,7 +24,7 @@
 
     /** Encodes a call. */
     public static byte[] encode(ForwardedCall call) {
-        return ThriftBytes.encode(
+        ForwardStruct struct =
                 new ForwardStruct(
                         call.id().value(),
                         call.endpoint().value(),
@@ -31,7 +33,9 @@
                         toStructs(call.headers()),
                         ByteBuffer.wrap(call.body()),
                         wholeMillis(call.remainingTime()),
-                        call.isRetryable()));
+                        call.isRetryable());
+        call.fingerprint().forEach(request -> struct.setFingerprint(request.toBytes()));
+        return ThriftBytes.encode(struct);
     }
 
     /**
@@ -58,6 +62,7 @@
                 .body(struct.getBody())
                 .remainingTime(Duration.ofMillis(struct.getRemainingMillis()))
                 .retryable(struct.isRetryable())
+                .fingerprint(Option.of(struct.getFingerprint()).map(RequestFingerprint::ofBytes))
                 .build();
     }
 
--- a/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/table/LockRank.java
@@ -11,6 +11,7 @@
     LAYOUT,
     REACHABILITY,
     CUSTOMERS,
+    QUARANTINE,
     LOADS,
     ENDPOINTS,
     SHARDS,
