Bound the messages about suspected requests, and test the quarantine

Suspicions are found by request instead of by a scan. A connection that is refused counts as an end only where this host reaches another endpoint, since a cut path may refuse as well. The stand-in adapter registers start times.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/StandaloneAdapter.java
@@ -56,7 +56,8 @@
                         record.zone().value(),
                         Integer.toString(record.slots()),
                         Boolean.toString(record.draining()),
-                        record.version().value());
+                        record.version().value(),
+                        Long.toString(record.startedAtMillis()));
         return new KeyValueService.Put(
                 ENDPOINT_PREFIX + record.id(), text.getBytes(StandardCharsets.UTF_8), 0);
     }
@@ -112,8 +113,8 @@
     @Override
     public Either<String, EndpointRecord> decodeEndpoint(String key, byte[] value) {
         String[] fields = new String(value, StandardCharsets.UTF_8).split(" ");
-        if (fields.length < 5 || fields.length > 6) {
-            return Either.left("expected 5 or 6 fields, found " + fields.length);
+        if (fields.length < 5 || fields.length > 7) {
+            return Either.left("expected 5 to 7 fields, found " + fields.length);
         }
         try {
             return Either.right(
@@ -124,16 +125,23 @@
                             new AvailabilityZone(fields[2]),
                             Integer.parseInt(fields[3]),
                             Boolean.parseBoolean(fields[4]),
-                            0,
+                            startedAtMillis(fields),
                             version(fields)));
         } catch (IllegalArgumentException e) {
             return Either.left(String.valueOf(e.getMessage()));
         }
     }
 
-    /** Returns the last field, which is absent when the endpoint states no version. */
+    /** Returns the sixth field, which is empty or absent when the endpoint states no version. */
     private static SoftwareVersion version(String[] fields) {
-        return fields.length == 6 ? new SoftwareVersion(fields[5]) : SoftwareVersion.UNSTATED;
+        return fields.length >= 6 && !fields[5].isEmpty()
+                ? new SoftwareVersion(fields[5])
+                : SoftwareVersion.UNSTATED;
+    }
+
+    /** Returns the last field, which is absent when the start time is unknown. */
+    private static long startedAtMillis(String[] fields) {
+        return fields.length == 7 ? Long.parseLong(fields[6]) : 0;
     }
 
     @Override
--- a/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/BreakTracerTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/endpoint/BreakTracerTest.java
@@ -69,8 +69,12 @@
         }
 
         static EndpointRecord endpoint(boolean draining) {
+            return endpoint("engine-0", draining);
+        }
+
+        static EndpointRecord endpoint(String id, boolean draining) {
             return new EndpointRecord(
-                    new EndpointId("engine-0"),
+                    new EndpointId(id),
                     new ServiceName("models"),
                     new Address("127.0.0.1", 9),
                     new AvailabilityZone("a"),
@@ -143,6 +147,44 @@
         }
     }
 
+    /** A host with several endpoints. */
+    public static final class CutPaths extends Fixture {
+        private void registerOthers() {
+            table.put(endpoint("engine-1", false));
+            table.put(endpoint("engine-2", false));
+        }
+
+        /** Guards against a cut that refuses connections and counts as the end of endpoints. */
+        @Test
+        public void hostThatReachesNoEndpointIsCutOff() {
+            registerOthers();
+            assertEquals(
+                    causeWith(REFUSED, REFUSED, REFUSED, UNANSWERED), new BreakCause.Unreached());
+        }
+
+        /** Guards against ends that do not count because nothing else is called. */
+        @Test
+        public void endpointHasEndedIfAnotherAccepts() {
+            registerOthers();
+            assertEquals(
+                    causeWith(REFUSED, REFUSED, REFUSED, OPENED),
+                    new BreakCause.Ended(endpoint(false)));
+        }
+
+        /** Guards against a probe of others while their responses arrive. */
+        @Test
+        public void bytesOfAnotherEndpointProveThePath() {
+            registerOthers();
+            probes.addAll(List.of(REFUSED, REFUSED));
+            CompletableFuture<BreakCause> cause = trace();
+            scheduler.advance(Duration.ofMillis(1));
+            table.recordHeard(new EndpointId("engine-1"), scheduler.nanoTime());
+            scheduler.advance(Duration.ofMillis(500));
+            assertEquals(cause.join(), new BreakCause.Ended(endpoint(false)));
+            assertEquals(probeCount, 2);
+        }
+    }
+
     /** Ends that nobody's call has caused. */
     public static final class ExpectedEnds extends Fixture {
         /** Guards against planned ends that count as crashes. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -366,6 +366,39 @@
         members.get(host).links().get(endpoints.get(endpoint).address()).set(how);
     }
 
+    /** An endpoint ends: all connections to it are reset, and new ones are refused. */
+    void crash(TimedEndpoint endpoint) throws IOException {
+        for (Member member : members) {
+            member.links().get(endpoint.address()).set(new Condition.Closed(true));
+        }
+    }
+
+    /** An endpoint starts again under its id. */
+    void restart(TimedEndpoint endpoint, long startedAtMillis) throws IOException {
+        for (Member member : members) {
+            member.links().get(endpoint.address()).set(new Condition.Clear());
+        }
+        register(endpoint, startedAtMillis, SoftwareVersion.UNSTATED);
+    }
+
+    /** Registers an endpoint with another start time and software. */
+    void register(TimedEndpoint endpoint, long startedAtMillis, SoftwareVersion version) {
+        int index = endpoints.indexOf(endpoint);
+        String id = (index < ENDPOINTS_PER_SERVICE ? LEDGER : ARCHIVE) + "-";
+        EndpointRecord record =
+                new EndpointRecord(
+                        new EndpointId(id + index % ENDPOINTS_PER_SERVICE),
+                        serviceByEndpoint.get(endpoint.address()),
+                        endpoint.address(),
+                        new AvailabilityZone("a"),
+                        50,
+                        false,
+                        startedAtMillis,
+                        version);
+        keyValue.write(
+                Vector.empty(), Vector.of(StandaloneAdapter.registration(record)), Vector.empty());
+    }
+
     /** Ends the cut of all links of a host. */
     void restore(int host) throws IOException {
         for (LoopbackProxy link : members.get(host).links().values()) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/Quarantine.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/Quarantine.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
@@ -28,7 +29,11 @@
 public final class Quarantine {
     private static final StructuredLog LOG = StructuredLog.of("quarantine");
 
+    /** Time in which what is learned is gathered for one decision. */
+    private static final Duration GATHERING = Duration.ofMillis(50);
+
     private final HostId self;
+    private final AtomicBoolean decisionScheduled = new AtomicBoolean();
     private final SuspicionTable table;
     private final TrialLedger ledger = new TrialLedger();
     private final TrialRequester trials;
@@ -102,7 +107,7 @@
                     .with("version", endpoint.version())
                     .with("endpoint", endpoint.id())
                     .with("exposure_ms", exposure.toMillis())
-                    .with("ends", table.report(key).map(known -> known.runs().size()).getOrElse(0))
+                    .with("ends", table.endsUnder(key))
                     .info();
             onChange();
         }
@@ -116,7 +121,7 @@
                     .with("service", endpoint.service())
                     .with("endpoint", endpoint.id())
                     .info();
-            propagation.onNews();
+            propagation.onOwnNews();
         }
     }
 
@@ -130,13 +135,26 @@
                 .filter(report -> report.quarantinedAge().isDefined())
                 .forEach(report -> logQuarantined(report, "peer"));
         if (!news.isEmpty()) {
-            onChange();
+            propagation.onReceivedNews();
+            scheduleDecision();
         }
     }
 
     private void onChange() {
-        propagation.onNews();
-        scheduler.after(QuarantineTimes.SETTLING, this::decide);
+        propagation.onOwnNews();
+        scheduleDecision();
+    }
+
+    /** What is learned while a decision is due has one of its own. */
+    private void scheduleDecision() {
+        if (decisionScheduled.compareAndSet(false, true)) {
+            scheduler.after(
+                    GATHERING,
+                    () -> {
+                        decisionScheduled.set(false);
+                        scheduler.after(QuarantineTimes.SETTLING, this::decide);
+                    });
+        }
     }
 
     private void decide() {
@@ -145,7 +163,7 @@
             return;
         }
         found.forEach(report -> logQuarantined(report, "own"));
-        propagation.onNews();
+        propagation.onOwnNews();
         // The ends that are explained now no longer speak for a general cause.
         decide();
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/SuspicionPropagation.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/SuspicionPropagation.java
@@ -52,6 +52,7 @@
     private final Consumer<Vector<SuspicionReport>> reportListener;
     private final Scheduler scheduler;
     private final RandomGenerator random;
+    private final ReportBudget budget;
     private final AtomicBoolean pushScheduled = new AtomicBoolean();
     private final AtomicBoolean newsScheduled = new AtomicBoolean();
 
@@ -74,6 +75,7 @@
         this.reportListener = reportListener;
         this.scheduler = scheduler;
         this.random = random;
+        this.budget = new ReportBudget(scheduler);
     }
 
     /** Starts the comparisons; call once. */
@@ -92,14 +94,19 @@
         return Duration.ofMillis((long) (millis * (1 + JITTER * (2 * random.nextDouble() - 1))));
     }
 
-    /** Called when this host has learned something. */
-    void onNews() {
+    /** Called when this host has found something. */
+    void onOwnNews() {
         if (pushScheduled.compareAndSet(false, true)) {
             scheduler.after(GATHERING, this::push);
         }
         scheduleNews();
     }
 
+    /** Called when another host has told something new. */
+    void onReceivedNews() {
+        scheduleNews();
+    }
+
     private void push() {
         pushScheduled.set(false);
         Vector<SuspicionReport> news = news();
@@ -141,10 +148,14 @@
 
     private void send(HostId host, Vector<SuspicionReport> reports) {
         QuarantineChannel.Exchange message =
-                new QuarantineChannel.Exchange(table.digest(), reports);
+                new QuarantineChannel.Exchange(table.digest(), allowed(reports));
         channel.exchange(host, message).thenAccept(this::onReply);
     }
 
+    private Vector<SuspicionReport> allowed(Vector<SuspicionReport> reports) {
+        return reports.take(budget.take(reports.size()));
+    }
+
     private void onReply(Option<QuarantineChannel.Exchange> reply) {
         reply.forEach(exchange -> reportListener.accept(exchange.reports()));
     }
@@ -153,8 +164,8 @@
     QuarantineChannel.Exchange reply(QuarantineChannel.Exchange message) {
         reportListener.accept(message.reports());
         long digest = table.digest();
-        Vector<SuspicionReport> reports =
+        Vector<SuspicionReport> missing =
                 digest == message.digest() ? Vector.empty() : table.strongest(MAXIMUM_REPORTS);
-        return new QuarantineChannel.Exchange(digest, reports);
+        return new QuarantineChannel.Exchange(digest, allowed(missing));
     }
 }
--- a/tamarackfold/src/main/java/org/tamarackfold/endpoint/BreakTracer.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/endpoint/BreakTracer.java
@@ -1,7 +1,9 @@
 package org.tamarackfold.endpoint;
 
+import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -29,6 +31,14 @@
     /** Delay of the second probe: an endpoint that is alive does not refuse twice. */
     private static final Duration SECOND_PROBE_DELAY = Duration.ofMillis(50);
 
+    /** Other endpoints to which a connection is opened to see whether the path works. */
+    private static final int MAXIMUM_COMPARED = 3;
+
+    private static final Comparator<ObservedEndpoint> LAST_HEARD_FIRST =
+            Comparator.comparingLong(
+                    (ObservedEndpoint other) ->
+                            -other.heardAtNanos().getOrElse(Long.MIN_VALUE + 1));
+
     /** Time after which a finished trace no longer answers for further breaks. */
     private static final Duration TRACE_LIFETIME = Duration.ofSeconds(1);
 
@@ -117,8 +127,52 @@
                     scheduler.after(
                             SECOND_PROBE_DELAY, () -> probe(endpoint, brokenAtNanos, result, true));
             case ConnectionProbe.Refused() ->
-                    finish(endpoint, brokenAtNanos, result, causeOfEnd(endpoint, brokenAtNanos));
+                    checkPath(endpoint, brokenAtNanos)
+                            .thenAccept(
+                                    works ->
+                                            finish(
+                                                    endpoint,
+                                                    brokenAtNanos,
+                                                    result,
+                                                    works
+                                                            ? causeOfEnd(endpoint, brokenAtNanos)
+                                                            : new BreakCause.Unreached()));
+        }
+    }
+
+    /**
+     * Returns whether this host reaches any other endpoint: a path that is cut may refuse
+     * connections, too. A host with a single endpoint has nothing to compare with.
+     */
+    private CompletableFuture<Boolean> checkPath(EndpointRecord endpoint, long brokenAtNanos) {
+        Vector<ObservedEndpoint> others =
+                table.available(scheduler.nanoTime())
+                        .filter(other -> !other.record().id().equals(endpoint.id()));
+        boolean isProven =
+                others.exists(
+                        other ->
+                                other.isHeardSince(brokenAtNanos)
+                                        || other.isConnectedSince(brokenAtNanos));
+        if (isProven || others.isEmpty()) {
+            return CompletableFuture.completedFuture(true);
+        }
+        return anyOpens(
+                others.filter(ObservedEndpoint::reachable)
+                        .sorted(LAST_HEARD_FIRST)
+                        .take(MAXIMUM_COMPARED));
+    }
+
+    private CompletableFuture<Boolean> anyOpens(Vector<ObservedEndpoint> others) {
+        if (others.isEmpty()) {
+            return CompletableFuture.completedFuture(false);
         }
+        return connections
+                .probe(others.head().record())
+                .thenCompose(
+                        found ->
+                                found instanceof ConnectionProbe.Opened
+                                        ? CompletableFuture.completedFuture(true)
+                                        : anyOpens(others.tail()));
     }
 
     /** Other connections show that an endpoint which refuses new ones is alive. */
