Keep quarantines in the key-value service over a restart of all hosts

Gossip loses what it knows when all entry hosts are killed at once, and the request then crashed three more endpoints. The hosts that decide write one record for each quarantined request, under a lease as long as the quarantine; hosts read it with the listing that they wait for before they take calls. Nothing waits for the service.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/Quarantines.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/http/Quarantines.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.tamarackfold.caller.quarantine.Quarantine;
 import org.tamarackfold.caller.quarantine.QuarantineChannel;
+import org.tamarackfold.caller.quarantine.QuarantineRecorder;
+import org.tamarackfold.caller.quarantine.SuspicionKey;
 import org.tamarackfold.caller.quarantine.SuspicionReport;
 import org.tamarackfold.caller.quarantine.TrialKey;
 import org.tamarackfold.endpoint.EndpointTable;
@@ -23,6 +25,7 @@
         return Quarantine.builder()
                 .self(new HostId("entry-1"))
                 .channel(new NoOthers())
+                .recorder(new NoRecorder())
                 .versions(endpoints::versions)
                 .endpointCount(
                         service -> endpoints.availableSlots(service, System.nanoTime()).size())
@@ -32,6 +35,14 @@
                 .build();
     }
 
+    private static final class NoRecorder implements QuarantineRecorder {
+        @Override
+        public void record(SuspicionReport report) {}
+
+        @Override
+        public void remove(SuspicionKey key) {}
+    }
+
     private static final class NoOthers implements QuarantineChannel {
         @Override
         public Vector<HostId> others() {
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/QuarantineFleet.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/QuarantineFleet.java
@@ -68,6 +68,7 @@
                 Quarantine.builder()
                         .self(host)
                         .channel(new Channel(host))
+                        .recorder(new NoRecorder())
                         .versions(service -> Set.of(VERSION))
                         .endpointCount(service -> endpoints)
                         .scheduler(scheduler)
@@ -129,6 +130,14 @@
                 VERSION);
     }
 
+    private static final class NoRecorder implements QuarantineRecorder {
+        @Override
+        public void record(SuspicionReport report) {}
+
+        @Override
+        public void remove(SuspicionKey key) {}
+    }
+
     private final class Channel implements QuarantineChannel {
         private final HostId self;
 
--- a/tamarackfold.thrift/src/main/thrift/entry.thrift
+++ b/tamarackfold.thrift/src/main/thrift/entry.thrift
@@ -168,3 +168,10 @@
   2: optional i64 deniedMillis
   3: required list<SuspicionStruct> suspicions
 }
+
+// A request that was found to crash endpoints, as the key-value service keeps it.
+struct QuarantineRecordStruct {
+  1: required SuspicionStruct suspicion
+  // When it was written, in milliseconds since the Unix epoch; the ages are of that time.
+  2: required i64 writtenAtMillis
+}
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/Quarantine.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/Quarantine.java
@@ -39,11 +39,13 @@
     private final TrialRequester trials;
     private final SuspicionPropagation propagation;
     private final Function<ServiceName, java.util.Set<SoftwareVersion>> versions;
+    private final QuarantineRecorder recorder;
     private final Scheduler scheduler;
     private final HostMetrics metrics;
 
     private Quarantine(Builder builder) {
         self = Objects.requireNonNull(builder.self);
+        recorder = Objects.requireNonNull(builder.recorder);
         versions = Objects.requireNonNull(builder.versions);
         scheduler = Objects.requireNonNull(builder.scheduler);
         metrics = Objects.requireNonNull(builder.metrics);
@@ -115,16 +117,23 @@
 
     /** Records that an endpoint has answered a request whole. */
     public void recordAnswer(RequestFingerprint request, EndpointRecord endpoint) {
-        if (table.recordAnswer(new SuspicionKey(request, Software.of(endpoint)))) {
+        SuspicionKey key = new SuspicionKey(request, Software.of(endpoint));
+        if (table.recordAnswer(key)) {
             LOG.event("cleared")
                     .with("request", request)
                     .with("service", endpoint.service())
                     .with("endpoint", endpoint.id())
                     .info();
             propagation.onOwnNews();
+            recorder.remove(key);
         }
     }
 
+    /** Adds what the key-value service has kept. */
+    public void onRecord(SuspicionReport report) {
+        onReports(Vector.of(report));
+    }
+
     /** What other hosts have found counts as if this one had. */
     private void onReports(Vector<SuspicionReport> reports) {
         if (reports.isEmpty()) {
@@ -163,6 +172,7 @@
             return;
         }
         found.forEach(report -> logQuarantined(report, "own"));
+        found.forEach(recorder::record);
         propagation.onOwnNews();
         // The ends that are explained now no longer speak for a general cause.
         decide();
@@ -225,6 +235,7 @@
     public static final class Builder {
         private HostId self;
         private QuarantineChannel channel;
+        private QuarantineRecorder recorder;
         private Function<ServiceName, java.util.Set<SoftwareVersion>> versions;
         private ToIntFunction<ServiceName> endpointCount;
         private Scheduler scheduler;
@@ -245,6 +256,12 @@
             return this;
         }
 
+        /** Sets what keeps quarantines over a restart of all hosts. */
+        public Builder recorder(QuarantineRecorder value) {
+            recorder = value;
+            return this;
+        }
+
         /** Sets what returns the software versions of the endpoints of a service. */
         public Builder versions(Function<ServiceName, java.util.Set<SoftwareVersion>> value) {
             versions = value;
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/QuarantineTimes.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/QuarantineTimes.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 
 /** The times of the quarantine. */
-final class QuarantineTimes {
+public final class QuarantineTimes {
     /** For how long a request is rejected; then one copy of it is tried. */
-    static final Duration QUARANTINE = Duration.ofMinutes(10);
+    public static final Duration QUARANTINE = Duration.ofMinutes(10);
 
     /** For how long a request that was quarantined is tried by one copy at a time. */
     static final Duration MEMORY = Duration.ofHours(1);
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/SuspicionReport.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/SuspicionReport.java
@@ -42,6 +42,16 @@
                 suspicion.clearedAtNanos().map(at -> age(at, nowNanos)));
     }
 
+    /** Returns this report after a time, in which all of its ages have grown. */
+    public SuspicionReport after(Duration time) {
+        return new SuspicionReport(
+                key,
+                runs.map(
+                        run -> new Run(run.endpoint(), run.exposureMillis(), run.age().plus(time))),
+                quarantinedAge.map(age -> age.plus(time)),
+                clearedAge.map(age -> age.plus(time)));
+    }
+
     private static Duration age(long atNanos, long nowNanos) {
         return Duration.ofNanos(Math.max(0, nowNanos - atNanos));
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -242,7 +242,8 @@
                                 new ReleaseListener(
                                         components.adapter(), releases, this::onReleaseConfirmed))
                         .add(components.adapter().endpointPrefix(), endpointListener)
-                        .add(SharedKeys.ROOT, sharedStateListener);
+                        .add(SharedKeys.ROOT, sharedStateListener)
+                        .add(SharedKeys.QUARANTINES, quarantine.recordListener());
         changeRelay
                 .peek(relay -> relay.startWatch(dispatcher))
                 .onEmpty(() -> components.startWatch(dispatcher));
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/QuarantineComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/QuarantineComponents.java
@@ -3,15 +3,21 @@
 import io.undertow.server.HttpHandler;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
+import java.time.InstantSource;
 import org.tamarackfold.caller.quarantine.Quarantine;
+import org.tamarackfold.caller.quarantine.SuspicionReport;
 import org.tamarackfold.endpoint.EndpointTable;
+import org.tamarackfold.keyvalue.PrefixWatcher;
+import org.tamarackfold.peer.QuarantineRecords;
 import org.tamarackfold.peer.RecentHosts;
+import org.tamarackfold.peer.SharedKeys;
 import org.tamarackfold.peer.http.EntryHostMessages;
 import org.tamarackfold.peer.http.HttpQuarantineChannel;
 
 /** The quarantine of an entry host, and the messages that it needs. */
 final class QuarantineComponents {
     private final Quarantine quarantine;
+    private final QuarantineRecords records;
 
     QuarantineComponents(HostComponents components, EndpointTable endpoints) {
         RecentHosts hosts =
@@ -19,8 +25,16 @@
                         components.settings().host(),
                         components.hostTable(),
                         components.scheduler());
+        records =
+                new QuarantineRecords(
+                        components.keyValue(),
+                        this::onRecord,
+                        components.scheduler(),
+                        InstantSource.system(),
+                        components.random());
         quarantine =
                 Quarantine.builder()
+                        .recorder(records)
                         .self(components.settings().host())
                         .channel(
                                 new HttpQuarantineChannel(
@@ -39,6 +53,15 @@
         components.metrics().observeQuarantine(quarantine::quarantinedCount);
     }
 
+    private void onRecord(SuspicionReport report) {
+        quarantine.onRecord(report);
+    }
+
+    /** Returns the listener for {@link SharedKeys#QUARANTINES}. */
+    PrefixWatcher.Listener recordListener() {
+        return records;
+    }
+
     Quarantine quarantine() {
         return quarantine;
     }
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/SharedKeys.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/SharedKeys.java
@@ -16,6 +16,9 @@
     /** Prefix of the registrations of entry hosts. */
     public static final String ENTRY_HOSTS = ROOT + "entry/";
 
+    /** Prefix of the requests that were found to crash endpoints. */
+    public static final String QUARANTINES = ROOT + "quarantine/";
+
     private SharedKeys() {}
 
     /** Returns the key under which a storage host is registered. */
--- a/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/QuarantineCodec.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/thrift/QuarantineCodec.java
@@ -18,6 +18,7 @@
 import org.tamarackfold.id.ServiceName;
 import org.tamarackfold.id.SoftwareVersion;
 import org.tamarackfold.peer.thrift.generated.EndedRunStruct;
+import org.tamarackfold.peer.thrift.generated.QuarantineRecordStruct;
 import org.tamarackfold.peer.thrift.generated.SuspicionExchangeStruct;
 import org.tamarackfold.peer.thrift.generated.SuspicionStruct;
 import org.tamarackfold.peer.thrift.generated.TrialReplyStruct;
@@ -104,6 +105,27 @@
                 decision(struct), toReports(struct.getSuspicions()));
     }
 
+    /**
+     * Encodes a record of a request that crashes endpoints.
+     *
+     * @param writtenAtMillis the time of day, in milliseconds since the Unix epoch
+     */
+    public static byte[] encodeRecord(SuspicionReport report, long writtenAtMillis) {
+        return ThriftBytes.encode(new QuarantineRecordStruct(toStruct(report), writtenAtMillis));
+    }
+
+    /**
+     * Decodes a record as it is true at a time of day, in milliseconds since the Unix epoch.
+     *
+     * @throws IllegalArgumentException when the bytes are malformed
+     */
+    public static SuspicionReport decodeRecord(byte[] bytes, long nowMillis) {
+        QuarantineRecordStruct struct = ThriftBytes.decode(bytes, new QuarantineRecordStruct());
+        // Clocks of hosts differ.
+        long ageMillis = Math.max(0, nowMillis - struct.getWrittenAtMillis());
+        return toReport(struct.getSuspicion()).after(Duration.ofMillis(ageMillis));
+    }
+
     private static TrialDecision decision(TrialReplyStruct struct) {
         if (struct.isSetDeniedMillis()) {
             return new TrialDecision.Denied(millis(struct.getDeniedMillis()));
