--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/QuarantineFleetTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/QuarantineFleetTest.java
@@ -88,10 +88,28 @@
                 }
                 fleet.advance(1_000);
             }
-            long most =
-                    fleet.sentBytes.values().stream().mapToLong(Long::longValue).max().getAsLong();
+            long most = mostBytes(fleet);
+            System.out.println(
+                    "quarantine | " + size + " hosts | busy | " + most / seconds + " B/s");
             assertTrue(most < 20_000L * seconds, "bytes in " + seconds + " s: " + most);
         }
+
+        /** Guards against hosts that send much while nothing happens. */
+        @Test(dataProvider = "fleets")
+        public void idleHostsSendLittle(int size, long seed) {
+            QuarantineFleet fleet = new QuarantineFleet(size, 600, seed);
+            crashThree(fleet);
+            fleet.advance(60_000);
+            fleet.sentBytes.clear();
+            fleet.advance(60_000);
+            long perSecond = mostBytes(fleet) / 60;
+            System.out.println("quarantine | " + size + " hosts | idle | " + perSecond + " B/s");
+            assertTrue(perSecond < 200, "bytes a second: " + perSecond);
+        }
+
+        private static long mostBytes(QuarantineFleet fleet) {
+            return fleet.sentBytes.values().stream().mapToLong(Long::longValue).max().getAsLong();
+        }
     }
 
     /** Hosts that were away. */
@@ -233,4 +251,51 @@
             assertTrue(fleet.isQuarantined(5, CRASHING));
         }
     }
+
+    /** Several requests that crash endpoints, beside sound ones. */
+    public static final class SeveralRequests {
+        /** What a request may end: the platform allows three, and three tries later on. */
+        private static final int ALLOWED_ENDS = 6;
+
+        /** The number of crashing requests, whether they may run twice, and a seed. */
+        @DataProvider
+        public Object[][] loads() {
+            return new Object[][] {
+                {1, false, 1},
+                {1, true, 2},
+                {4, false, 3},
+                {4, true, 4},
+                {4, false, 5},
+                {4, true, 6}
+            };
+        }
+
+        /** Guards against requests that end many endpoints before they are certain. */
+        @Test(dataProvider = "loads")
+        public void fewEndpointsEnd(int crashing, boolean mayRetry, long seed) {
+            QuarantineFleet fleet = new QuarantineFleet(6, 10, seed);
+            CrashingLoad load = new CrashingLoad(fleet, seed);
+            load.sendSound(30);
+            fleet.advance(2_000);
+            for (int i = 0; i < crashing; i++) {
+                load.sendCrashing(new RequestFingerprint(i, 99), 400, mayRetry);
+            }
+            fleet.advance(30_000);
+            System.out.println(
+                    "quarantine | %d crashing, retried %s | ended %s | sound %d of %d"
+                            .formatted(
+                                    crashing,
+                                    mayRetry,
+                                    load.ended.values(),
+                                    load.soundServed,
+                                    load.soundSent));
+            load.ended.forEach(
+                    (request, ends) -> assertTrue(ends <= ALLOWED_ENDS, request + ": " + ends));
+            assertEquals(load.soundRejected, 0);
+            int served = load.soundServed;
+            int sent = load.soundSent;
+            fleet.advance(5_000);
+            assertEquals(load.soundServed - served, load.soundSent - sent, 2);
+        }
+    }
 }
