Accept crashing_requests as a selection of the soak command, and hash by the JDK

The command had a list of its own. The host that grants the trials of a request is ranked by the JDK's SplittableRandom in place of a third copy of its finalizer.

--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -56,7 +56,8 @@
                 "cuts",
                 "keys",
                 "spoiled_responses",
-                "spoiled_heads"
+                "spoiled_heads",
+                "crashing_requests"
             })
     private String faults = "all";
 
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/TrialRequester.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/TrialRequester.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -123,11 +124,9 @@
                 .sortBy(host -> hash(request, host));
     }
 
-    /** Finalizer of SplitMix64 over both; similar names would have similar hashes without it. */
+    /** The generator mixes the bits of its seed: similar names would have similar hashes else. */
     private static long hash(RequestFingerprint request, HostId host) {
-        long value = request.low() ^ ((long) host.value().hashCode() << 32);
-        long mixed = (value ^ (value >>> 30)) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return mixed ^ (mixed >>> 31);
+        long seed = request.low() ^ ((long) host.value().hashCode() << 32);
+        return new SplittableRandom(seed).nextLong();
     }
 }
