--- a/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
+++ b/tamarackfold.daemon/src/main/java/org/tamarackfold/daemon/command/SoakCommand.java
@@ -45,8 +45,9 @@
                     "planned, unplanned, all, versions (all, with two software versions), cuts (hosts"
                             + " cut off from endpoints, beside planned work), keys (withdrawn"
                             + " while the key-value service rejects hosts, likewise),"
-                            + " spoiled_responses (bytes of endpoints that are no response), or"
-                            + " spoiled_heads (malformed heads of endpoints)")
+                            + " spoiled_responses (bytes of endpoints that are no response),"
+                            + " spoiled_heads (malformed heads of endpoints), or"
+                            + " crashing_requests (requests that end endpoints)")
     @AllowedRawValues(
             allowedValues = {
                 "planned",
--- a/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/RequestFingerprintsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/caller/quarantine/RequestFingerprintsTest.java
@@ -84,6 +84,20 @@
                     known);
         }
 
+        /** Guards against large bodies that are told apart by their ends only. */
+        @Test
+        public void eachByteOfALargeBodyCounts() {
+            byte[] body = new byte[1_000_000];
+            RequestFingerprint known = RequestFingerprints.of(call("c1").build(), "/a", body);
+            for (int changed : new int[] {0, 500_000, body.length - 1}) {
+                byte[] other = body.clone();
+                other[changed] = 1;
+                assertNotEquals(RequestFingerprints.of(call("c1").build(), "/a", other), known);
+            }
+            assertNotEquals(
+                    RequestFingerprints.of(call("c1").build(), "/a", new byte[1_000_001]), known);
+        }
+
         /** Guards against parts that run into each other. */
         @Test
         public void endsOfPartsCount() {
