--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
@@ -33,6 +33,9 @@
         /** The time within which all hosts must know what one of them does. */
         static final int CONTACT_MILLIS = 3_000;
 
+        /** Longer than any wait before another copy is tried. */
+        static final int HOLD_MILLIS = 3_300;
+
         final AtomicInteger callCount = new AtomicInteger();
         final AtomicInteger startCount = new AtomicInteger();
         LinkedHosts hosts;
@@ -114,8 +117,7 @@
         void crashThree(String path) throws Exception {
             for (int i = 0; i < 3; i++) {
                 crash(i % HOSTS, path);
-                // Longer than any wait before another copy is tried.
-                Thread.sleep(1_500);
+                Thread.sleep(HOLD_MILLIS);
             }
             Thread.sleep(CONTACT_MILLIS);
         }
@@ -182,7 +184,7 @@
                 String id = newId();
                 send(host, "/submit/crash", id);
                 hosts.crash(awaitReceived(id));
-                Thread.sleep(1_500);
+                Thread.sleep(HOLD_MILLIS);
             }
             Thread.sleep(CONTACT_MILLIS);
             for (int host = 0; host < HOSTS; host++) {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/QuarantineTimes.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/QuarantineTimes.java
@@ -25,8 +25,11 @@
     /** Time without a try after the first end, in which reports of it reach the other hosts. */
     static final Duration FIRST_HOLD = Duration.ofMillis(300);
 
-    /** Time without a try after further ends; longer than {@link #SETTLING}. */
-    static final Duration LATER_HOLD = Duration.ofMillis(1_200);
+    /**
+     * Time without a try after further ends, in which endpoints that have ended mostly start again;
+     * longer than {@link #SETTLING}.
+     */
+    static final Duration LATER_HOLD = Duration.ofSeconds(3);
 
     private QuarantineTimes() {}
 }
