--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
@@ -174,6 +174,24 @@
             assertRejected(added, "/read/crash");
         }
 
+        /** Guards against ends that count for nobody because another host had sent the call on. */
+        @Test
+        public void forwardedCopiesCount() throws Exception {
+            for (int i = 0; i < 3; i++) {
+                // After the endpoint has started again, which restores the links to it.
+                Thread.sleep(600);
+                hosts.cut(0, new Condition.Hanging());
+                // By then, the host knows that it reaches no endpoint and has its calls forwarded.
+                Thread.sleep(HOLD_MILLIS);
+                crash(0, "/submit/crash");
+            }
+            hosts.restore(0);
+            Thread.sleep(CONTACT_MILLIS);
+            for (int host = 0; host < HOSTS; host++) {
+                assertRejected(host, "/submit/crash");
+            }
+        }
+
         /** Guards against hosts that need the key-value service to know the request. */
         @Test
         public void hostsThatTheServiceRejectsKnowTheRequest() throws Exception {
--- a/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/CrashCertainty.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/caller/quarantine/CrashCertainty.java
@@ -18,7 +18,7 @@
     /** Ends below which nothing is certain; the platform lets a request crash three endpoints. */
     static final int MINIMUM_ENDS = 3;
 
-    /** No end counts for more than one of this probability; a rate of few ends is a guess. */
+    /** No end counts for more than one of this probability; a rate of few ends is uncertain. */
     private static final double LEAST_PROBABILITY = 0.01;
 
     /** The probability of a coincidence below which the request is held to be the cause. */
