End the threads of a host when it has stopped

A stopped host went on sending: its I/O threads ran until the process ended. In the tests, where many hosts share a process, hosts of tests that were over sent their comparisons of suspicions to ports that endpoints of later tests had taken since. A daemon was not affected, since its process ends.

Host.stop now ends the threads last, LinkedHosts, PlannedStopTest and GoldenSessionTest wait for it.

--- a/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
+++ b/tamarackfold.standin/src/main/java/org/tamarackfold/standin/http/DemoSession.java
@@ -37,7 +37,7 @@
  * Demo session of a small agent program. Runs two storage hosts, an entry host, a model engine and
  * an application engine in one process on loopback. The transcript is the same on each run.
  */
-public final class DemoSession {
+public final class DemoSession implements AutoCloseable {
     private static final Duration STARTUP_TIMEOUT = Duration.ofSeconds(20);
     private static final long POLL_INTERVAL_MILLIS = 50;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -83,16 +83,18 @@
     }
 
     /**
-     * Runs the session and returns when the response to its last call is complete. The hosts are
-     * not stopped.
+     * Runs the session and returns when the response to its last call is complete. The hosts run
+     * until the session is closed.
      *
      * @param out receives the transcript
      * @param folder the folder in which the hosts create their data folders
      */
-    public static void run(PrintStream out, Path folder) throws IOException, InterruptedException {
+    public static DemoSession run(PrintStream out, Path folder)
+            throws IOException, InterruptedException {
         DemoSession session = new DemoSession(out, folder);
         session.start();
         session.makeCalls();
+        return session;
     }
 
     private void start() throws IOException {
@@ -221,4 +223,23 @@
             Thread.sleep(POLL_INTERVAL_MILLIS);
         }
     }
+
+    /** Stops the hosts, which takes some seconds, and the engines. */
+    @Override
+    public void close() {
+        List<Thread> stops = new ArrayList<>();
+        for (Host host : hosts) {
+            stops.add(Thread.ofVirtual().start(host::stop));
+        }
+        try {
+            for (Thread stop : stops) {
+                stop.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        modelEngine.close();
+        applicationEngine.close();
+        client.close();
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
@@ -1,17 +1,24 @@
 package org.tamarackfold.node.runtime;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.tamarackfold.daemon.soak.http.LoopbackProxy.Condition;
+import org.tamarackfold.id.Address;
 import org.tamarackfold.id.SoftwareVersion;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -341,4 +348,32 @@
             }
         }
     }
+
+    /** Hosts that have stopped. */
+    public static final class StoppedHosts extends Fixture {
+        /** Long enough for several messages that compare what hosts suspect. */
+        private static final int LISTENING_MILLIS = 4_000;
+
+        /**
+         * Guards against messages of a stopped host, which reach whoever listens next on the port
+         * of another host.
+         */
+        @Test
+        public void sendNothing() throws Exception {
+            crash(0, "/read/crash");
+            List<Thread> stops = new ArrayList<>();
+            for (int host = 0; host < HOSTS; host++) {
+                stops.add(Thread.ofVirtual().start(hosts.node(host)::stop));
+            }
+            for (Thread stop : stops) {
+                stop.join();
+            }
+            Address address = hosts.peerAddress(1);
+            try (ServerSocket listener =
+                    new ServerSocket(address.port(), 50, InetAddress.getByName(address.ip()))) {
+                listener.setSoTimeout(LISTENING_MILLIS);
+                assertThrows(SocketTimeoutException.class, listener::accept);
+            }
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -523,11 +523,13 @@
         return endpoints.stream().mapToInt(endpoint -> endpoint.timesReceived(callId)).sum();
     }
 
+    /**
+     * Returns when the hosts have stopped: one that still runs would send its messages to whoever
+     * listens next on the ports of the others, such as the endpoints of another test.
+     */
     @Override
     public void close() throws IOException {
-        for (Member member : members) {
-            Thread.ofVirtual().start(member.node()::stop);
-        }
+        stopHosts();
         for (Member member : members) {
             for (LoopbackProxy link : member.links().values()) {
                 link.close();
@@ -537,4 +539,18 @@
             endpoint.close();
         }
     }
+
+    private void stopHosts() {
+        List<Thread> stops = new ArrayList<>();
+        for (Member member : members) {
+            stops.add(Thread.ofVirtual().start(member.node()::stop));
+        }
+        try {
+            for (Thread stop : stops) {
+                stop.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/PlannedStopTest.java
@@ -195,12 +195,13 @@
             stopping.join(10_000);
         }
 
-        /** Waits for the end of the host. */
+        /** Stops the host unless the test has done so, and waits for its end. */
         @AfterMethod(alwaysRun = true)
         public void stop() throws Exception {
-            if (stopping != null) {
-                stopping.join(10_000);
+            if (stopping == null) {
+                requestStop();
             }
+            stopping.join(10_000);
             endpoint.close();
         }
 
--- a/tamarackfold.test/src/test/java/org/tamarackfold/standin/GoldenSessionTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/standin/GoldenSessionTest.java
@@ -34,9 +34,11 @@
         @Test
         public void transcriptMatchesRecording() throws Exception {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
-            DemoSession.run(
-                    new PrintStream(out, true, StandardCharsets.UTF_8),
-                    Files.createTempDirectory("golden"));
+            DemoSession session =
+                    DemoSession.run(
+                            new PrintStream(out, true, StandardCharsets.UTF_8),
+                            Files.createTempDirectory("golden"));
+            session.close();
             String actual = out.toString(StandardCharsets.UTF_8);
             assertEquals(actual, recordedTranscript("demo-session.txt", actual));
         }
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -312,6 +312,7 @@
         LOG.event("stopped").with("active_calls", callHandler.activeCalls()).info();
         listeners.stop();
         callHandler.logCutCalls();
+        components.stop();
     }
 
     private void awaitQuiet(StopSchedule schedule, long untilNanos) {
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/HostComponents.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.tamarackfold.adapter.PlatformAdapter;
@@ -39,6 +41,9 @@
     /** Idle timeout of a pooled connection whose server sends no Keep-Alive timeout. */
     private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(4);
 
+    /** Timeout on shutdown for the tasks of the I/O threads, such as closing connections. */
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(1);
+
     private final HostSettings settings;
     private final PlatformAdapter adapter;
     private final IoRuntime runtime;
@@ -148,6 +153,21 @@
         new PrefixWatcher(keyValue, "", dispatcher, this::watchTiming, scheduler, random).start();
     }
 
+    /**
+     * Ends the I/O threads after the tasks that they have already been given; nothing is sent
+     * afterwards. Blocks the calling thread, which must not be an I/O thread.
+     */
+    void stop() {
+        CountDownLatch tasksDone = new CountDownLatch(1);
+        runtime.ioThread().execute(tasksDone::countDown);
+        try {
+            tasksDone.await(STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        runtime.stop();
+    }
+
     /** Returns the timing of a watch at the service. */
     WatchTiming watchTiming() {
         PropagationBounds bounds = settings.propagationBounds();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -176,5 +176,6 @@
         LOG.event("stopped").with("holds_shards", retirementListener.holdsShards()).info();
         listeners.stop();
         recordLog.close();
+        components.stop();
     }
 }
