Forget entry hosts that are gone while no registration changes

Hosts that had lost their registration were dropped only when another registration changed. Until then, each host went on sending comparisons of suspicions to them, where another process may listen by now.

--- a/tamarackfold/src/main/java/org/tamarackfold/peer/RecentHosts.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/peer/RecentHosts.java
@@ -18,6 +18,9 @@
     /** How long a host is remembered without a registration; longer than most outages. */
     private static final Duration LIFETIME = Duration.ofMinutes(5);
 
+    /** Interval of the check for hosts to be forgotten while no registration changes. */
+    private static final Duration CHECK_INTERVAL = Duration.ofSeconds(10);
+
     /** Hosts that are remembered; the size of a fleet to design for is a third of it. */
     private static final int MAXIMUM_HOSTS = 1_024;
 
@@ -30,6 +33,7 @@
     private Vector<EntryHost> lastRegistered = Vector.empty();
     private Map<HostId, Seen> seen = LinkedHashMap.empty();
     private Vector<EntryHost> ordered = Vector.empty();
+    private long updatedAtNanos;
 
     /**
      * Creates the view of a host.
@@ -40,6 +44,7 @@
         this.self = self;
         this.hostTable = hostTable;
         this.scheduler = scheduler;
+        this.updatedAtNanos = scheduler.nanoTime();
     }
 
     /** Returns the other hosts, ordered by name. */
@@ -48,9 +53,11 @@
         long nowNanos = scheduler.nanoTime();
         return lock.withLock(
                 () -> {
-                    if (registered != lastRegistered) {
+                    if (registered != lastRegistered
+                            || nowNanos - updatedAtNanos >= CHECK_INTERVAL.toNanos()) {
                         update(registered, nowNanos);
                         lastRegistered = registered;
+                        updatedAtNanos = nowNanos;
                     }
                     return ordered;
                 });
