Let a host be stopped twice

With its I/O threads ended, a second stop blocked for good in the closing of the listeners: XNIO waits for a thread that has ended. A further call now returns at once, and the fixture fails instead of waiting for more than 20 s.

--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
@@ -369,6 +369,7 @@
                 stop.join();
             }
             Address address = hosts.peerAddress(1);
+            // All hosts are stopped once more when the test has ended, which must not block.
             try (ServerSocket listener =
                     new ServerSocket(address.port(), 50, InetAddress.getByName(address.ip()))) {
                 listener.setSoTimeout(LISTENING_MILLIS);
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -47,6 +47,7 @@
     private static final int ENDPOINTS_PER_SERVICE = 3;
     private static final int MAXIMUM_STARTS = 5;
     private static final int SOCKET_TIMEOUT_MILLIS = 8_000;
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(20);
 
     private static final String RELEASE =
             """
@@ -547,7 +548,9 @@
         }
         try {
             for (Thread stop : stops) {
-                stop.join();
+                if (!stop.join(STOP_TIMEOUT)) {
+                    throw new IllegalStateException("a host does not stop");
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/EntryNode.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.caller.StopSchedule;
 import org.tamarackfold.caller.http.CallDependencies;
@@ -67,7 +68,7 @@
     private final ForwardHandler forwardHandler;
     private final Option<ChangeRelay> changeRelay;
     private final HttpListeners listeners;
-    private volatile boolean stopping;
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
     private EntryNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         components = new HostComponents(settings, adapter);
@@ -266,11 +267,11 @@
     }
 
     private boolean isReady() {
-        return !stopping && releases.current().isDefined() && endpointListener.hasListing();
+        return !stopping.get() && releases.current().isDefined() && endpointListener.hasListing();
     }
 
     private void registerWhenReady() {
-        if (stopping) {
+        if (stopping.get()) {
             return;
         }
         if (!isReady()) {
@@ -286,6 +287,9 @@
 
     @Override
     public void stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
         long stopRequestedAtNanos = System.nanoTime();
         StopSchedule schedule =
                 new StopSchedule(
@@ -295,7 +299,6 @@
                                 .settings()
                                 .directoryTimeToLive()
                                 .multipliedBy(ADDRESS_TTL_MULTIPLE));
-        stopping = true;
         LOG.event("stopping").with("active_calls", callHandler.activeCalls()).info();
         customerLimits.resign();
         registration.stop();
--- a/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
+++ b/tamarackfold/src/main/java/org/tamarackfold/node/runtime/StorageNode.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.tamarackfold.adapter.PlatformAdapter;
 import org.tamarackfold.id.ShardId;
 import org.tamarackfold.keyvalue.LeasedKey;
@@ -49,6 +50,7 @@
     private final LeasedKey registration;
     private final RetirementListener retirementListener;
     private final HttpListeners listeners;
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
     private StorageNode(HostSettings settings, PlatformAdapter adapter) throws IOException {
         components = new HostComponents(settings, adapter);
@@ -169,6 +171,9 @@
 
     @Override
     public void stop() {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
         LOG.event("stopping").with("store", self.store()).info();
         components.hostTable().setDraining(self.host(), true);
         PollingWait.until(() -> !retirementListener.holdsShards(), SHARD_MOVE_TIMEOUT);
