--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/CrashingRequestsTest.java
@@ -349,6 +349,63 @@
         }
     }
 
+    /** Customers that send the same request. */
+    public static final class Customers extends Fixture {
+        private static final String CRASHING = "secret-of-acme";
+        private static final String OTHER = "secret-of-beta";
+
+        /** Puts a release with two customers in force. */
+        @BeforeMethod
+        public void publishCustomers() throws Exception {
+            hosts.publishRelease(
+                    2,
+                    """
+                    [[customers]]
+                    name = "acme"
+                    keys = ["secret-of-acme"]
+                    [[customers]]
+                    name = "beta"
+                    keys = ["secret-of-beta"]
+                    """);
+            for (int host = 0; host < HOSTS; host++) {
+                for (int i = 0; i < 100 && call(host, "/read/", newId(), "").status() != 401; i++) {
+                    Thread.sleep(20);
+                }
+                assertEquals(call(host, "/read/", newId(), "").status(), 401);
+            }
+        }
+
+        private LinkedHosts.Result call(int host, String path, String id, String key) {
+            String request =
+                    LateCallTest.Fixture.request(path, id, TIMEOUT_MILLIS, WORK_MILLIS)
+                            .replace(
+                                    "Call-Deadline-Ms",
+                                    "Authorization: Bearer " + key + "\r\nCall-Deadline-Ms");
+            return hosts.call(host, id, request);
+        }
+
+        @Override
+        Future<LinkedHosts.Result> send(int host, String path, String id) {
+            return callers.submit(() -> call(host, path, id, CRASHING));
+        }
+
+        /** Guards against a customer whose calls are rejected for the requests of another one. */
+        @Test
+        public void sameRequestOfAnotherCustomerIsServed() throws Exception {
+            crashThree("/read/crash");
+            for (int host = 0; host < HOSTS; host++) {
+                String id = newId();
+                LinkedHosts.Result rejected = call(host, "/read/crash", id, CRASHING);
+                assertEquals(rejected.status(), 503, "host " + host);
+                assertTrue(rejected.body().contains("quarantined"), rejected.body());
+                assertEquals(hosts.timesReceived(id), 0);
+                String otherId = newId();
+                assertEquals(call(host, "/read/crash", otherId, OTHER).status(), 200);
+                assertEquals(hosts.timesReceived(otherId), 1);
+            }
+        }
+    }
+
     /** Hosts that have stopped. */
     public static final class StoppedHosts extends Fixture {
         /** Long enough for several messages that compare what hosts suspect. */
--- a/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
+++ b/tamarackfold.test/src/test/java/org/tamarackfold/node/runtime/LinkedHosts.java
@@ -463,11 +463,15 @@
 
     /** Makes a call on a new connection; its endpoint works for the given time. */
     Result call(int host, String path, String id, int timeoutMillis, int workMillis) {
+        return call(host, id, LateCallTest.Fixture.request(path, id, timeoutMillis, workMillis));
+    }
+
+    /** Sends the request of a call on a new connection. */
+    Result call(int host, String id, String request) {
         long startNanos = System.nanoTime();
         String response = "";
         try (Socket socket = connect(host)) {
-            PlannedStopTest.Fixture.send(
-                    socket, LateCallTest.Fixture.request(path, id, timeoutMillis, workMillis));
+            PlannedStopTest.Fixture.send(socket, request);
             response = PlannedStopTest.Fixture.readResponse(socket);
         } catch (IOException e) {
             response = "";
