--- a/review/standin-2/BodiesCase.java
+++ b/review/standin-2/BodiesCase.java
@@ -4,20 +4,23 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 
-/** Clients that send bodies of the allowed size at once, beside clients on kept connections. */
+/**
+ * More users come at once: each sends one request whose body is as large as the configuration
+ * allows, beside the clients that are there already and send small requests on kept connections.
+ */
 public final class BodiesCase {
-    private static final int BODY_BYTES = 4 * 1024 * 1024;
+    private static final int BODY_BYTES = 4_194_304;
+    private static final int VIEW_TIMEOUT_MILLIS = 2_000;
+    private static final int SUBMIT_TIMEOUT_MILLIS = 6_000;
+    private static final int STEADY_CLIENTS = 20;
 
-    private BodiesCase() {}
+    /** With them, 2.3 times as many clients send at once. */
+    private static final int MORE_CLIENTS = 26;
 
-    static final String CONFIG =
+    private static final String CONFIG =
             """
             {"version":7,"routes":[{"name":"r-1","host":"fleet.example","prefix":"/submit/",\
             "type":"unsafe","timeoutMs":6000,"targetLatencyMs":1200,"priority":2,\
@@ -28,87 +31,117 @@
             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,\
             "idleTimeoutMs":15000}}""";
 
-    public static void main(String[] arguments) throws Exception {
-        int uploads = Integer.parseInt(System.getProperty("uploads", "24"));
-        try (Rig rig = new Rig(Path.of(arguments[0]))) {
-            rig.platform.put("op/config", CONFIG);
-            for (int i = 1; i <= 4; i++) {
-                rig.add(new Engine(rig, "i-" + i, "ledger", (engine, request, out) -> {
-                    Thread.sleep(200);
-                    Engine.succeed(request, out);
-                    return true;
-                })).register("zone-a");
-            }
-            Rig.HostProcess host = rig.host("entry-1", true, "zone-a");
-            host.start();
-            host.awaitReady(20_000);
-            Thread.sleep(1_000);
-            AtomicBoolean stop = new AtomicBoolean();
-            Map<String, AtomicInteger> seen = new ConcurrentHashMap<>();
-            List<Thread> threads = new ArrayList<>();
-            for (int i = 0; i < 8; i++) {
-                threads.add(Thread.ofVirtual().start(() -> keep(rig, host, stop, seen)));
-            }
-            Thread.sleep(3_000);
-            if (Rig.TROUBLE) {
-                CountDownLatch done = new CountDownLatch(uploads);
-                for (int i = 0; i < uploads; i++) {
-                    Thread.ofVirtual().start(() -> {
-                        upload(rig, host, seen);
-                        done.countDown();
-                    });
-                }
-                done.await();
-            }
-            Thread.sleep(4_000);
-            stop.set(true);
-            for (Thread thread : threads) {
-                thread.join();
-            }
-            rig.note("seen %s alive %s ready %s", new TreeMap<>(seen), host.isAlive(), host.isReady());
-            for (String line : host.logLines("OutOfMemory")) {
-                rig.note("log %s", line);
-            }
-        }
+    private final Rig rig;
+    private final List<Sent> requests = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean stop = new AtomicBoolean();
+    private Rig.HostProcess host;
+
+    /** A request of which the last byte was sent, and how long its answer took. */
+    private record Sent(String id, int timeoutMillis, long answeredAfterMillis) {}
+
+    private BodiesCase(Rig rig) {
+        this.rig = rig;
+    }
+
+    public static void main(String[] arguments) {
+        Rig.runCase(Path.of(arguments[0]), rig -> new BodiesCase(rig).run());
     }
 
-    static void count(Map<String, AtomicInteger> seen, String what) {
-        seen.computeIfAbsent(what, unused -> new AtomicInteger()).incrementAndGet();
+    private int run() throws Exception {
+        rig.platform.put("op/config", CONFIG);
+        for (int i = 1; i <= 8; i++) {
+            rig.add(
+                            new Engine(
+                                    rig,
+                                    "i-" + i,
+                                    "ledger",
+                                    (engine, request, out) -> {
+                                        Thread.sleep(100);
+                                        Engine.succeed(request, out);
+                                        return true;
+                                    }))
+                    .register("zone-1");
+        }
+        host = rig.host("entry-1", true, "zone-1");
+        host.start();
+        host.awaitReady(20_000);
+        Thread.sleep(1_000);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < STEADY_CLIENTS; i++) {
+            threads.add(Thread.ofVirtual().start(this::sendSteadily));
+        }
+        Thread.sleep(5_000);
+        if (Rig.TROUBLE) {
+            rig.note("%d more clients come", MORE_CLIENTS);
+            for (int i = 0; i < MORE_CLIENTS; i++) {
+                threads.add(Thread.ofVirtual().start(this::sendLarge));
+            }
+        }
+        Thread.sleep(12_000);
+        stop.set(true);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        for (String line : host.logLines("OutOfMemoryError")) {
+            rig.note("log of the host: %s", line.substring(0, Math.min(200, line.length())));
+        }
+        long unanswered =
+                requests.stream().filter(r -> r.answeredAfterMillis() > r.timeoutMillis()).count();
+        long late =
+                requests.stream()
+                        .filter(r -> r.answeredAfterMillis() > r.timeoutMillis() + 500)
+                        .count();
+        rig.note(
+                "%d requests, %d unanswered at their timeoutMs, %d of them half a second later",
+                requests.size(), unanswered, late);
+        return 2 * late > unanswered ? 1 : 0;
     }
 
-    private static void keep(Rig rig, Rig.HostProcess host, AtomicBoolean stop, Map<String, AtomicInteger> seen) {
+    private void sendSteadily() {
         while (!stop.get()) {
             try (Client client = new Client(host.callers)) {
                 while (!stop.get()) {
                     String id = Client.newId();
-                    client.send("GET", "/view/" + id, id, 2_000, new byte[0]);
-                    Rig.Message answer = client.receive(3_000);
-                    if (answer == null) {
-                        rig.note("request %s: connection closed without an answer", id);
-                        count(seen, "kept closed");
+                    client.send("GET", "/view/" + id, id, 4_000, new byte[0]);
+                    String seen = await(client, id, VIEW_TIMEOUT_MILLIS);
+                    if (!seen.startsWith("HTTP/1.1 200")) {
+                        rig.note("view %s: %s", id, seen);
                         break;
                     }
-                    count(seen, "kept " + answer.status());
+                    Thread.sleep(100);
                 }
             } catch (IOException e) {
-                rig.note("kept connection: %s", e);
-                count(seen, "kept " + e.getClass().getSimpleName());
+                rig.note("view: %s", e);
                 sleep(200);
+            } catch (InterruptedException e) {
+                return;
             }
         }
     }
 
-    private static void upload(Rig rig, Rig.HostProcess host, Map<String, AtomicInteger> seen) {
+    private void sendLarge() {
         String id = Client.newId();
         try (Client client = new Client(host.callers)) {
-            client.send("POST", "/submit/" + id, id, 6_000, new byte[BODY_BYTES]);
-            Rig.Message answer = client.receive(8_000);
-            rig.note("upload %s: %s", id, answer == null ? "closed" : answer.startLine());
-            count(seen, "upload " + (answer == null ? "closed" : answer.status()));
+            client.send("POST", "/submit/" + id, id, 8_000, new byte[BODY_BYTES]);
+            rig.note("submit %s: %s", id, await(client, id, SUBMIT_TIMEOUT_MILLIS));
+        } catch (IOException e) {
+            rig.note("submit %s: %s", id, e);
+        }
+    }
+
+    /** Waits for the answer for a second longer than the route allows, and notes its time. */
+    private String await(Client client, String id, int timeoutMillis) {
+        long sentNanos = System.nanoTime();
+        String seen;
+        try {
+            Rig.Message answer = client.receive(timeoutMillis + 1_000);
+            seen = answer == null ? "closed" : answer.startLine();
         } catch (IOException e) {
-            rig.note("upload %s: %s", id, e);
-            count(seen, "upload " + e.getClass().getSimpleName());
+            seen = e.toString();
         }
+        long millis = (System.nanoTime() - sentNanos) / 1_000_000;
+        requests.add(new Sent(id, timeoutMillis, millis));
+        return seen + " after " + millis + " ms";
     }
 
     static void sleep(long millis) {
--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -31,8 +31,11 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile Behaviour behaviour;
 
+    /** Set once the engine has crashed. */
+    boolean dead;
+
     public Engine(Rig rig, String id, String service, Behaviour behaviour) throws IOException {
-        this(rig, id, service, 0, behaviour);
+        this(rig, id, service, Rig.freePort(), behaviour);
     }
 
     public Engine(Rig rig, String id, String service, int port, Behaviour behaviour)
--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -26,7 +26,7 @@
     /** Whether the case is to bring its disruption about. */
     public static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
-    private final Path root;
+    private final Path root = Path.of("").toAbsolutePath();
     private final Path folder;
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
@@ -36,7 +36,6 @@
 
     /** Creates the rig; the record goes to record.txt in the folder of the case. */
     public Rig(Path caseFolder) throws IOException {
-        root = Path.of(System.getProperty("review.root"));
         folder = Files.createTempDirectory("review-2-");
         record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
@@ -44,6 +43,24 @@
         note("trouble=%s", TROUBLE);
     }
 
+    /** A case that runs in a rig; returns 1 if the rule was broken, 0 if it held. */
+    public interface Case {
+        int run(Rig rig) throws Exception;
+    }
+
+    /** Runs a case and ends this process: with status 2 when the case could not run. */
+    public static void runCase(Path caseFolder, Case body) {
+        int status;
+        try (Rig rig = new Rig(caseFolder)) {
+            status = body.run(rig);
+            rig.note("result %d", status);
+        } catch (Exception e) {
+            e.printStackTrace();
+            status = 2;
+        }
+        System.exit(status);
+    }
+
     /** Writes a line to the record, with the milliseconds since the start. */
     public synchronized void note(String format, Object... arguments) {
         long millis = (System.nanoTime() - startNanos) / 1_000_000;
@@ -54,11 +71,24 @@
         return folder;
     }
 
-    /** Returns a port of the loopback interface that is free now. */
-    public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    /** Below the ports that the kernel gives to outgoing connections. */
+    private static final int FIRST_PORT = 12_000;
+
+    private static final int PORT_SPAN = 18_000;
+    private static int nextPort = (int) (ProcessHandle.current().pid() * 97 % PORT_SPAN);
+
+    /** Returns a port of the loopback interface that is free now; each is returned once. */
+    public static synchronized int freePort() throws IOException {
+        for (int tries = 0; tries < PORT_SPAN; tries++) {
+            int port = FIRST_PORT + nextPort++ % PORT_SPAN;
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (java.net.BindException e) {
+                // Another process uses the port; the next one is tried.
+            }
         }
+        throw new IOException("no port is free");
     }
 
     public <T extends AutoCloseable> T add(T closeable) {
