--- a/review/standin-2/DeadlyCase.java
+++ b/review/standin-2/DeadlyCase.java
@@ -161,8 +161,9 @@
         rig.note("engine %s runs the deadly request as %s", engine.id, call);
         runs.add(System.nanoTime());
         Thread.sleep(150);
-        engine.close();
-        Thread.ofVirtual().start(() -> restart(engine));
+        if (engine.crash()) {
+            Thread.ofVirtual().start(() -> restart(engine));
+        }
         return false;
     }
 
--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -30,9 +30,7 @@
     private final ServerSocket socket;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile Behaviour behaviour;
-
-    /** Set once the engine has crashed. */
-    boolean dead;
+    private boolean crashed;
 
     public Engine(Rig rig, String id, String service, Behaviour behaviour) throws IOException {
         this(rig, id, service, Rig.freePort(), behaviour);
@@ -137,6 +135,18 @@
         Rig.Http.write(out, head, body);
     }
 
+    /** Ends the engine; returns false if it has crashed before. */
+    public boolean crash() throws IOException {
+        synchronized (this) {
+            if (crashed) {
+                return false;
+            }
+            crashed = true;
+        }
+        close();
+        return true;
+    }
+
     /** Closes all connections and the port, as a crash does. */
     @Override
     public void close() throws IOException {
