--- a/review/standin-2/Rig.java
+++ b/review/standin-2/Rig.java
@@ -52,7 +52,7 @@
     public static void runCase(Path caseFolder, Case body) {
         int status;
         try (Rig rig = new Rig(caseFolder)) {
-            status = body.run(rig);
+            status = runIn(rig, body);
             rig.note("result %d", status);
         } catch (Exception e) {
             e.printStackTrace();
@@ -61,6 +61,15 @@
         System.exit(status);
     }
 
+    private static int runIn(Rig rig, Case body) {
+        try {
+            return body.run(rig);
+        } catch (Exception e) {
+            rig.note("the case could not run: %s", e);
+            return 2;
+        }
+    }
+
     /** Writes a line to the record, with the milliseconds since the start. */
     public synchronized void note(String format, Object... arguments) {
         long millis = (System.nanoTime() - startNanos) / 1_000_000;
