--- a/review/standin-2/BodiesCase.java
+++ b/review/standin-2/BodiesCase.java
@@ -56,6 +56,10 @@
                                     "i-" + i,
                                     "ledger",
                                     (engine, request, out) -> {
+                                        rig.note(
+                                                "engine %s runs %s",
+                                                engine.id,
+                                                request.header("X-Tamarackfold-Request-Id"));
                                         Thread.sleep(100);
                                         Engine.succeed(request, out);
                                         return true;
@@ -104,8 +108,8 @@
                     String id = Client.newId();
                     client.send("GET", "/view/" + id, id, 4_000, new byte[0]);
                     String seen = await(client, id, VIEW_TIMEOUT_MILLIS);
+                    rig.note("view %s: %s", id, seen);
                     if (!seen.startsWith("HTTP/1.1 200")) {
-                        rig.note("view %s: %s", id, seen);
                         break;
                     }
                     Thread.sleep(100);
